--- /dev/null
+++ b/event/event.go
@@ -0,0 +1,79 @@
+// Package event defines numbered log events and writes them as structured logs. The catalogue of all
+// events is docs/events.md.
+package event
+
+import (
+	"io"
+
+	"github.com/hashicorp/go-hclog"
+)
+
+// Number identifies an event. Numbers are never reused for another meaning.
+type Number int
+
+// Event is a kind of log line.
+type Event struct {
+	Number Number
+	// Name is one or two lower-case words joined by a dot.
+	Name string
+	Text string
+}
+
+// Define declares an event. Call it from a package-level variable in the events.go file of a package,
+// with literal arguments: the catalogue test reads them from the source.
+func Define(number Number, name, text string) Event {
+	return Event{Number: number, Name: name, Text: text}
+}
+
+// Log writes events. The zero value discards them.
+type Log struct {
+	logger hclog.Logger
+}
+
+// Format selects the encoding of log lines.
+type Format string
+
+// Formats of log lines.
+const (
+	FormatJSON Format = "json"
+	FormatText Format = "text"
+)
+
+// NewLog returns a Log that writes lines of at least the given level (trace, debug, info, warn, error).
+func NewLog(w io.Writer, name, level string, format Format) Log {
+	return Log{logger: hclog.New(&hclog.LoggerOptions{
+		Name:       name,
+		Level:      hclog.LevelFromString(level),
+		Output:     w,
+		JSONFormat: format == FormatJSON,
+	})}
+}
+
+// With returns a Log that adds the pairs to each line.
+func (l Log) With(pairs ...any) Log {
+	if l.logger == nil {
+		return l
+	}
+	return Log{logger: l.logger.With(pairs...)}
+}
+
+// Debug writes an event of interest to developers.
+func (l Log) Debug(e Event, pairs ...any) { l.write(hclog.Debug, e, pairs) }
+
+// Info writes an event of normal operation.
+func (l Log) Info(e Event, pairs ...any) { l.write(hclog.Info, e, pairs) }
+
+// Warn writes an event that an operator may have to look at.
+func (l Log) Warn(e Event, pairs ...any) { l.write(hclog.Warn, e, pairs) }
+
+// Error writes an event that needs an operator.
+func (l Log) Error(e Event, pairs ...any) { l.write(hclog.Error, e, pairs) }
+
+func (l Log) write(level hclog.Level, e Event, pairs []any) {
+	if l.logger == nil {
+		return
+	}
+	fields := make([]any, 0, len(pairs)+4)
+	fields = append(fields, "event", int(e.Number), "kind", e.Name)
+	l.logger.Log(level, e.Text, append(fields, pairs...)...)
+}
--- /dev/null
+++ b/peer/doc.go
@@ -0,0 +1,2 @@
+// Package peer carries messages between entries.
+package peer
--- /dev/null
+++ b/slot/slot.go
@@ -0,0 +1,60 @@
+// Package slot divides the slots of targets among the entries and queues the requests that wait for
+// one.
+package slot
+
+import (
+	"context"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/team"
+)
+
+// Ticket asks for a slot of a pool.
+type Ticket struct {
+	Pool     pool.Name
+	Team     team.Name
+	Deadline time.Time
+	// Avoid lists targets that an earlier try of the request used.
+	Avoid []instance.ID
+}
+
+// Lease identifies a granted slot.
+type Lease string
+
+// Grant is the right to send one request to a target. It is released exactly once.
+type Grant struct {
+	Lease  Lease
+	Pool   pool.Name
+	Target instance.ID
+}
+
+// Result tells the allocator how a granted slot was used.
+type Result string
+
+// Results of a granted slot.
+const (
+	ResultDone        Result = "done"        // the target executed the request
+	ResultUnused      Result = "unused"      // nothing was sent
+	ResultFull        Result = "full"        // the target refused because its slots are taken
+	ResultUnreachable Result = "unreachable" // no connection to the target
+	ResultUnknown     Result = "unknown"     // the request may still occupy the slot
+)
+
+// Allocator grants slots. Acquire fails at once with a typed error whose outcome is notrun when the
+// deadline cannot be met or the queue is full.
+type Allocator interface {
+	Acquire(ctx context.Context, ticket Ticket) (Grant, error)
+	Release(grant Grant, result Result)
+}
+
+// Capacity tells the allocator what it may grant.
+type Capacity interface {
+	// Usable returns the targets of a pool that take work now, in a stable order.
+	Usable(name pool.Name) []instance.ID
+	// Spec returns the limits of a pool; ok is false for an unknown pool.
+	Spec(name pool.Name) (spec pool.Spec, ok bool)
+	// Weight returns the share of a team; at least 1.
+	Weight(name team.Name) int
+}
