--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,263 @@
+// Package member tracks which entries are live and ranks them. Membership is a hint: it says who
+// proposes first and who owns a pool's slots, never what is true.
+package member
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"hibiscuslane.example/hibiscuslane/event"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/peer"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+const (
+	// heartbeat is the period of reports. One exchange a second with each of 8 peers costs less than
+	// the 4 KB/s that a daemon may spend on control.
+	heartbeat = time.Second
+	// liveness is the age up to which a report counts. Two lost reports do no harm.
+	liveness      = 3 * time.Second
+	reportTimeout = 800 * time.Millisecond
+	// listPeriod is the period of reading the platform's list, which lags anyway.
+	listPeriod = 2 * time.Second
+)
+
+// Group is the set of entries that this entry knows. Set the exported fields before Run.
+type Group struct {
+	// Self is the id of this entry.
+	Self      instance.ID
+	Directory platform.Directory
+	Clients   *peer.Clients
+	Timer     *timer.Service
+	Events    event.Log
+	// Status returns the report of this entry. It must not block.
+	Status func() *peer.Status
+
+	mu    sync.Mutex
+	known map[instance.ID]*contact
+	// listed is the last list that the platform returned.
+	listed   []platform.Listing
+	listedAt time.Time
+}
+
+// contact is what is known of one peer.
+type contact struct {
+	address instance.Address
+	status  *peer.Status
+	// heard is the time of the last report; zero if there was none.
+	heard time.Time
+	up    bool
+}
+
+// Run exchanges reports until ctx ends.
+func (g *Group) Run(ctx context.Context) error {
+	tick := g.Timer.Every(heartbeat)
+	defer tick.Stop()
+	for {
+		g.refresh(ctx)
+		g.exchange(ctx)
+		g.logChanges()
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C():
+		}
+	}
+}
+
+func (g *Group) refresh(ctx context.Context) {
+	g.mu.Lock()
+	fresh := !g.listedAt.IsZero() && g.Timer.Since(g.listedAt) < listPeriod
+	g.mu.Unlock()
+	if fresh {
+		return
+	}
+	listCtx, cancel := g.Timer.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	list, err := g.Directory.List(listCtx)
+	if err != nil {
+		g.Events.Warn(eventListFailed, "error", err)
+		return
+	}
+	g.SetList(list)
+}
+
+// SetList replaces the platform's list.
+func (g *Group) SetList(list []platform.Listing) {
+	g.mu.Lock()
+	g.listed, g.listedAt = list, g.Timer.Now()
+	addresses := map[instance.ID]instance.Address{}
+	for _, l := range list {
+		if l.Kind == instance.KindEntry && l.ID != g.Self {
+			addresses[l.ID] = l.Address
+		}
+	}
+	if g.known == nil {
+		g.known = map[instance.ID]*contact{}
+	}
+	for id := range g.known {
+		if _, ok := addresses[id]; !ok {
+			delete(g.known, id)
+		}
+	}
+	keep := make([]instance.Address, 0, len(addresses))
+	for id, address := range addresses {
+		keep = append(keep, address)
+		if g.known[id] == nil {
+			g.known[id] = &contact{}
+		}
+		g.known[id].address = address
+	}
+	g.mu.Unlock()
+	g.Clients.Keep(keep)
+}
+
+// exchange calls the peers with a higher id. Those with a lower id call this entry, and both learn
+// the other's status from one call.
+func (g *Group) exchange(ctx context.Context) {
+	status := g.Status()
+	var wait sync.WaitGroup
+	for id, address := range g.Addresses() {
+		if id < g.Self {
+			continue
+		}
+		wait.Go(func() {
+			callCtx, cancel := g.Timer.WithTimeout(ctx, reportTimeout)
+			defer cancel()
+			answer, err := g.Clients.Get(address).Report(callCtx, status)
+			if err == nil {
+				g.Hear(answer)
+			}
+		})
+	}
+	wait.Wait()
+}
+
+// Report implements peer.Reporter.
+func (g *Group) Report(_ context.Context, status *peer.Status) (*peer.Status, error) {
+	g.Hear(status)
+	return g.Status(), nil
+}
+
+// Hear records a report. Reports of an earlier incarnation are ignored.
+func (g *Group) Hear(status *peer.Status) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := g.known[instance.ID(status.GetEntry())]
+	if c == nil {
+		// The list lags: a peer that is not listed yet has no address to call back.
+		return
+	}
+	if c.status != nil && status.GetIncarnation() < c.status.GetIncarnation() {
+		return
+	}
+	c.status = status
+	c.heard = g.Timer.Now()
+}
+
+func (g *Group) logChanges() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for id, c := range g.known {
+		up := g.liveLocked(c)
+		if up != c.up {
+			c.up = up
+			if up {
+				g.Events.Info(eventUp, "peer", id, "incarnation", c.status.GetIncarnation())
+			} else {
+				g.Events.Warn(eventDown, "peer", id)
+			}
+		}
+	}
+}
+
+func (g *Group) liveLocked(c *contact) bool {
+	return !c.heard.IsZero() && g.Timer.Since(c.heard) < liveness && !c.status.GetStopping()
+}
+
+// Live returns the live entries in ascending order, this entry included.
+func (g *Group) Live() []instance.ID {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	live := []instance.ID{g.Self}
+	for id, c := range g.known {
+		if g.liveLocked(c) {
+			live = append(live, id)
+		}
+	}
+	slices.Sort(live)
+	return live
+}
+
+// Peers returns the last report of each live peer in ascending order of their ids.
+func (g *Group) Peers() []*peer.Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var peers []*peer.Status
+	for _, c := range g.known {
+		if g.liveLocked(c) {
+			peers = append(peers, c.status)
+		}
+	}
+	slices.SortFunc(peers, func(a, b *peer.Status) int { return cmp.Compare(a.GetEntry(), b.GetEntry()) })
+	return peers
+}
+
+// Addresses returns the addresses of all listed peers, live or not.
+func (g *Group) Addresses() map[instance.ID]instance.Address {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	addresses := make(map[instance.ID]instance.Address, len(g.known))
+	for id, c := range g.known {
+		addresses[id] = c.address
+	}
+	return addresses
+}
+
+// Address returns the address of a listed peer.
+func (g *Group) Address(id instance.ID) (instance.Address, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c, ok := g.known[id]
+	if !ok {
+		return "", false
+	}
+	return c.address, true
+}
+
+// List returns the last list of the platform and when it was read.
+func (g *Group) List() ([]platform.Listing, time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.listed, g.listedAt
+}
+
+// Order returns the live entries by rendezvous hashing of the key, the first choice first.
+func (g *Group) Order(key string) []instance.ID {
+	live := g.Live()
+	weights := make(map[instance.ID]uint64, len(live))
+	for _, id := range live {
+		weights[id] = xxhash.Sum64String(string(id) + "\x00" + key)
+	}
+	slices.SortFunc(live, func(a, b instance.ID) int {
+		return cmp.Or(cmp.Compare(weights[b], weights[a]), cmp.Compare(a, b))
+	})
+	return live
+}
+
+// Owner returns the first choice for a key.
+func (g *Group) Owner(key string) instance.ID {
+	return g.Order(key)[0]
+}
+
+// Rank returns the position of this entry in the order for a key; 0 is the first choice.
+func (g *Group) Rank(key string) int {
+	return slices.Index(g.Order(key), g.Self)
+}
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,72 @@
+package member_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/member"
+	"hibiscuslane.example/hibiscuslane/peer"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+func entries(ids ...instance.ID) []platform.Listing {
+	var list []platform.Listing
+	for _, id := range ids {
+		list = append(list, platform.Listing{ID: id, Kind: instance.KindEntry, Address: instance.Address("127.0.0.1:" + id)})
+	}
+	return list
+}
+
+func newGroup(clock *timer.Manual, self instance.ID) *member.Group {
+	g := &member.Group{Self: self, Clients: &peer.Clients{}, Timer: &clock.Service}
+	g.Status = func() *peer.Status { return &peer.Status{Entry: string(self), Incarnation: 1} }
+	g.SetList(entries("1", "2", "3"))
+	return g
+}
+
+// TestLiveness guards against ranking a peer that stopped reporting, is stopping, or reports through
+// a message of an earlier life.
+func TestLiveness(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1_000_000, 0))
+	g := newGroup(clock, "1")
+	require.Equal(t, []instance.ID{"1"}, g.Live())
+	_, err := g.Report(context.Background(), &peer.Status{Entry: "2", Incarnation: 2})
+	require.NoError(t, err)
+	g.Hear(&peer.Status{Entry: "9", Incarnation: 2})
+	require.Equal(t, []instance.ID{"1", "2"}, g.Live(), "an entry that is not listed has no address")
+	clock.Advance(2 * time.Second)
+	g.Hear(&peer.Status{Entry: "2", Incarnation: 1})
+	clock.Advance(2 * time.Second)
+	require.Equal(t, []instance.ID{"1"}, g.Live(), "a late report of an earlier incarnation does not count")
+	g.Hear(&peer.Status{Entry: "3", Incarnation: 1, Stopping: true})
+	require.Equal(t, []instance.ID{"1"}, g.Live())
+}
+
+// TestOrder guards against views that rank differently, and against a change of owner for keys whose
+// owner is still there.
+func TestOrder(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1_000_000, 0))
+	a, b := newGroup(clock, "1"), newGroup(clock, "2")
+	for _, id := range []string{"1", "2", "3"} {
+		a.Hear(&peer.Status{Entry: id, Incarnation: 1})
+		b.Hear(&peer.Status{Entry: id, Incarnation: 1})
+	}
+	before := map[string]instance.ID{}
+	for i := range 100 {
+		key := fmt.Sprint("pool-", i)
+		require.Equal(t, a.Order(key), b.Order(key))
+		before[key] = a.Owner(key)
+	}
+	a.Hear(&peer.Status{Entry: "3", Incarnation: 1, Stopping: true})
+	for key, owner := range before {
+		if owner != "3" {
+			require.Equal(t, owner, a.Owner(key))
+		}
+	}
+}
--- /dev/null
+++ b/snapshot/server.go
@@ -0,0 +1,36 @@
+package snapshot
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"hibiscuslane.example/hibiscuslane/peer"
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/stream"
+)
+
+// Server serves the states of this entry to its peers. It implements peer.Snapshotter.
+type Server struct {
+	Followers map[record.Stream]*stream.Follower
+	// Loaded reports whether the state of a stream may be served: an entry that is still loading has
+	// nothing to offer.
+	Loaded func(name record.Stream) bool
+}
+
+// Snapshot implements peer.Snapshotter.
+func (s *Server) Snapshot(_ context.Context, query *peer.SnapshotQuery) (*peer.SnapshotImage, error) {
+	name := record.Stream(query.GetStream())
+	follower, ok := s.Followers[name]
+	if !ok {
+		return nil, twirp.NotFoundError("no such stream")
+	}
+	if !s.Loaded(name) {
+		return nil, twirp.NewError(twirp.Unavailable, "state is not loaded yet")
+	}
+	offset, digest, state, err := follower.Snapshot()
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &peer.SnapshotImage{Stream: string(name), Offset: int64(offset), Digest: digest, State: state}, nil
+}
--- /dev/null
+++ b/snapshot/snapshot.go
@@ -0,0 +1,107 @@
+// Package snapshot keeps the state of streams beyond the retention window of the log: it appends
+// compact snapshots at a fixed cadence and loads them when an entry starts or falls behind.
+package snapshot
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/record"
+)
+
+// Kind is the record kind of snapshots.
+const Kind record.Kind = "snapshot"
+
+// maxStateBytes bounds an unpacked state, so that a faulty snapshot cannot exhaust memory.
+const maxStateBytes = 256 << 20
+
+// Image is the body of a snapshot record.
+type Image struct {
+	Stream record.Stream `json:"stream"`
+	// Offset is the next record to fold on top of State.
+	Offset record.Offset `json:"offset"`
+	// Digest is the hexadecimal digest of the state.
+	Digest string `json:"digest"`
+	// State is compressed with gzip.
+	State []byte `json:"state"`
+}
+
+// ImageError reports a snapshot that cannot be used.
+type ImageError struct {
+	Stream record.Stream
+	Reason string
+	Cause  error
+}
+
+func (e *ImageError) Error() string {
+	if e.Cause == nil {
+		return fmt.Sprintf("snapshot of stream %s: %s", e.Stream, e.Reason)
+	}
+	return fmt.Sprintf("snapshot of stream %s: %s: %v", e.Stream, e.Reason, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ImageError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Coded.
+func (e *ImageError) Code() failure.Code { return failure.CodeInvalid }
+
+// Outcome implements failure.Coded.
+func (e *ImageError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// Pack returns the image of a state.
+func Pack(stream record.Stream, offset record.Offset, digest uint64, state []byte) (Image, error) {
+	var packed bytes.Buffer
+	writer := gzip.NewWriter(&packed)
+	if _, err := writer.Write(state); err != nil {
+		return Image{}, &ImageError{Stream: stream, Reason: "state cannot be compressed", Cause: err}
+	}
+	if err := writer.Close(); err != nil {
+		return Image{}, &ImageError{Stream: stream, Reason: "state cannot be compressed", Cause: err}
+	}
+	return Image{Stream: stream, Offset: offset, Digest: strconv.FormatUint(digest, 16), State: packed.Bytes()}, nil
+}
+
+// Unpack returns the digest and the state of an image.
+func (i Image) Unpack() (digest uint64, state []byte, err error) {
+	digest, err = strconv.ParseUint(i.Digest, 16, 64)
+	if err != nil {
+		return 0, nil, &ImageError{Stream: i.Stream, Reason: "digest is malformed", Cause: err}
+	}
+	reader, err := gzip.NewReader(bytes.NewReader(i.State))
+	if err != nil {
+		return 0, nil, &ImageError{Stream: i.Stream, Reason: "state is malformed", Cause: err}
+	}
+	state, err = io.ReadAll(io.LimitReader(reader, maxStateBytes+1))
+	if err != nil {
+		return 0, nil, &ImageError{Stream: i.Stream, Reason: "state is malformed", Cause: err}
+	}
+	if len(state) > maxStateBytes {
+		return 0, nil, &ImageError{Stream: i.Stream, Reason: "state is too large"}
+	}
+	return digest, state, nil
+}
+
+// Decode parses a snapshot record of the given stream.
+func Decode(stream record.Stream, data json.RawMessage) (Image, error) {
+	envelope, err := record.Decode(data)
+	if err != nil {
+		return Image{}, err
+	}
+	if envelope.Kind != Kind {
+		return Image{}, &ImageError{Stream: stream, Reason: "record kind is " + string(envelope.Kind)}
+	}
+	var image Image
+	if err := record.Body(envelope, &image); err != nil {
+		return Image{}, err
+	}
+	if image.Stream != stream || image.Offset < 0 {
+		return Image{}, &ImageError{Stream: stream, Reason: "image is of stream " + string(image.Stream)}
+	}
+	return image, nil
+}
