slot: one owner per pool grants slots; entries pass them on

Cause: nine entries share 8 slots per target without a coordinator. Equal shares leave slots idle beside full queues, and local choice is refused again and again.

Over-limit sends: none while no entry fails.

Conclusion: an owner per pool, with reuse in queue order.

--- /dev/null
+++ b/slot/client_test.go
@@ -0,0 +1,142 @@
+package slot
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/peer"
+	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/team"
+)
+
+type fixedCapacity struct {
+	targets []instance.ID
+	queue   int
+}
+
+func (c fixedCapacity) Usable(pool.Name) []instance.ID { return c.targets }
+func (c fixedCapacity) Weight(team.Name) int           { return 1 }
+func (c fixedCapacity) Spec(name pool.Name) (pool.Spec, bool) {
+	return pool.Spec{Slots: slotCount, Queue: c.queue}, name == experiment
+}
+
+// cluster is a few entries with real connections between them.
+type cluster struct {
+	order     []instance.ID
+	addresses map[instance.ID]instance.Address
+	clients   map[instance.ID]*Client
+	servers   map[instance.ID]*http.Server
+}
+
+func (c *cluster) Order(string) []instance.ID { return c.order }
+func (c *cluster) Address(id instance.ID) (instance.Address, bool) {
+	address, ok := c.addresses[id]
+	return address, ok
+}
+
+func startCluster(t *testing.T, capacity Capacity, ids ...instance.ID) *cluster {
+	t.Helper()
+	c := &cluster{
+		order: ids, addresses: map[instance.ID]instance.Address{},
+		clients: map[instance.ID]*Client{}, servers: map[instance.ID]*http.Server{},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var group sync.WaitGroup
+	for i, id := range ids {
+		incarnation := instance.Incarnation(i + 1)
+		owners := &Owners{Self: id, Incarnation: incarnation, Capacity: capacity, Gone: func(instance.ID) bool { return false }}
+		client := &Client{Self: id, Incarnation: incarnation, Owners: owners, Ranking: c, Clients: &peer.Clients{}, Capacity: capacity}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		server := peer.NewServer(peer.NewHandler(peer.Service{Slots: owners}))
+		c.addresses[id], c.clients[id], c.servers[id] = instance.Address(listener.Addr().String()), client, server
+		group.Go(func() { _ = server.Serve(listener) })
+		group.Go(func() { _ = owners.Run(ctx) })
+		group.Go(func() { _ = client.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		for _, server := range c.servers {
+			_ = server.Close()
+		}
+		group.Wait()
+	})
+	return c
+}
+
+func ticket(left time.Duration) Ticket {
+	return Ticket{Pool: experiment, Team: "a", Deadline: time.Now().Add(left)}
+}
+
+// TestOwnerFailover guards against requests that stay in the queue of a dead owner, and against
+// grants over the limit while nothing fails.
+func TestOwnerFailover(t *testing.T) {
+	c := startCluster(t, fixedCapacity{targets: []instance.ID{"t1"}, queue: 1000}, "1", "2", "3")
+	ctx := t.Context()
+	var used, over, served atomic.Int32
+	var killed atomic.Bool
+	var group sync.WaitGroup
+	for i := range 300 {
+		client := c.clients[instance.ID(fmt.Sprint(2+i%2))]
+		group.Go(func() {
+			grant, err := client.Acquire(ctx, ticket(time.Minute))
+			if err != nil {
+				return
+			}
+			if used.Add(1) > slotCount && !killed.Load() {
+				over.Add(1)
+			}
+			if served.Add(1) == 100 {
+				killed.Store(true)
+				_ = c.servers["1"].Close()
+			}
+			time.Sleep(time.Millisecond)
+			used.Add(-1)
+			client.Release(grant, ResultDone)
+		})
+	}
+	group.Wait()
+	require.EqualValues(t, 300, served.Load())
+	require.Zero(t, over.Load())
+}
+
+// TestRefusalsTravel guards against losing the type and the retry hint of a remote owner's refusal.
+func TestRefusalsTravel(t *testing.T) {
+	c := startCluster(t, fixedCapacity{targets: []instance.ID{"t1"}, queue: 1}, "1", "2")
+	ctx := t.Context()
+	for range slotCount {
+		_, err := c.clients["2"].Acquire(ctx, ticket(time.Minute))
+		require.NoError(t, err)
+	}
+	waiting, cancel := context.WithCancel(ctx)
+	canceled := make(chan error, 1)
+	go func() {
+		_, err := c.clients["1"].Acquire(waiting, ticket(time.Minute))
+		canceled <- err
+	}()
+	require.Eventually(t, func() bool {
+		usage := c.clients["1"].Owners.Usage()
+		return len(usage) == 1 && usage[0].Waiting == 1
+	}, 5*time.Second, time.Millisecond)
+	_, err := c.clients["2"].Acquire(ctx, ticket(time.Minute))
+	var full *FullError
+	require.ErrorAs(t, err, &full)
+	require.Equal(t, 1, full.Limit)
+	require.Positive(t, full.RetryAfter())
+	cancel()
+	require.Equal(t, failure.OutcomeNotRun, failure.Of(<-canceled).Outcome())
+	require.Eventually(t, func() bool { return c.clients["1"].Owners.Usage()[0].Waiting == 0 }, 5*time.Second, time.Millisecond)
+	_, err = c.clients["2"].Acquire(ctx, Ticket{Pool: "other", Deadline: time.Now().Add(time.Minute)})
+	var missing *PoolError
+	require.ErrorAs(t, err, &missing)
+}
--- /dev/null
+++ b/slot/error.go
@@ -0,0 +1,118 @@
+package slot
+
+import (
+	"fmt"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/pool"
+)
+
+// FullError reports a request that was refused because the queue of its pool is full.
+type FullError struct {
+	Pool  pool.Name
+	Limit int
+	// Wait is the time after which a place in the queue is expected.
+	Wait time.Duration
+}
+
+func (e *FullError) Error() string {
+	return fmt.Sprintf("queue of pool %s is full (%d requests)", e.Pool, e.Limit)
+}
+
+// Code implements failure.Coded.
+func (e *FullError) Code() failure.Code { return failure.CodeOverloaded }
+
+// Outcome implements failure.Coded.
+func (e *FullError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// RetryAfter implements failure.Delayed.
+func (e *FullError) RetryAfter() time.Duration { return e.Wait }
+
+// DeadlineError reports a request that cannot get a slot before its deadline.
+type DeadlineError struct {
+	Pool pool.Name
+	// Wait is the expected wait for a slot, Left the time until the deadline.
+	Wait, Left time.Duration
+}
+
+func (e *DeadlineError) Error() string {
+	return fmt.Sprintf("expected wait for a slot of pool %s is %v and the deadline is in %v",
+		e.Pool, e.Wait.Round(time.Millisecond), e.Left.Round(time.Millisecond))
+}
+
+// Code implements failure.Coded.
+func (e *DeadlineError) Code() failure.Code { return failure.CodeDeadline }
+
+// Outcome implements failure.Coded.
+func (e *DeadlineError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// RetryAfter implements failure.Delayed.
+func (e *DeadlineError) RetryAfter() time.Duration { return max(e.Wait-e.Left, 0) }
+
+// PoolError reports a pool that does not exist or has no usable target.
+type PoolError struct {
+	Pool   pool.Name
+	Reason string
+}
+
+func (e *PoolError) Error() string { return fmt.Sprintf("pool %s %s", e.Pool, e.Reason) }
+
+// Code implements failure.Coded.
+func (e *PoolError) Code() failure.Code { return failure.CodeMissing }
+
+// Outcome implements failure.Coded.
+func (e *PoolError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// WithdrawnError reports a ticket that left the queue because its request got another slot or its
+// caller is gone.
+type WithdrawnError struct {
+	Pool pool.Name
+}
+
+func (e *WithdrawnError) Error() string {
+	return fmt.Sprintf("ticket for pool %s was withdrawn", e.Pool)
+}
+
+// Code implements failure.Coded.
+func (e *WithdrawnError) Code() failure.Code { return failure.CodeConflict }
+
+// Outcome implements failure.Coded.
+func (e *WithdrawnError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// CanceledError reports a request that stopped waiting because its caller is gone or its deadline
+// has passed.
+type CanceledError struct {
+	Pool  pool.Name
+	Cause error
+}
+
+func (e *CanceledError) Error() string {
+	return fmt.Sprintf("request stopped waiting for a slot of pool %s: %v", e.Pool, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *CanceledError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Coded.
+func (e *CanceledError) Code() failure.Code { return failure.CodeDeadline }
+
+// Outcome implements failure.Coded.
+func (e *CanceledError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// OwnerError reports an owner that cannot be called because its address is not known.
+type OwnerError struct {
+	Pool  pool.Name
+	Owner instance.ID
+}
+
+func (e *OwnerError) Error() string {
+	return fmt.Sprintf("address of entry %s, the owner of pool %s, is not known", e.Owner, e.Pool)
+}
+
+// Code implements failure.Coded.
+func (e *OwnerError) Code() failure.Code { return failure.CodeUnreachable }
+
+// Outcome implements failure.Coded.
+func (e *OwnerError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
--- a/slot/slot.go
+++ b/slot/slot.go
@@ -40,6 +40,11 @@
 	ResultFull        Result = "full"        // the target refused because its slots are taken
 	ResultUnreachable Result = "unreachable" // no connection to the target
 	ResultUnknown     Result = "unknown"     // the request may still occupy the slot
+
+	// resultReused and resultWithdrawn travel between entries only: a holder passed its slot on to
+	// another ticket, or a ticket no longer waits.
+	resultReused    Result = "reused"
+	resultWithdrawn Result = "withdrawn"
 )
 
 // Allocator grants slots. Acquire fails at once with a typed error whose outcome is notrun when the
