Emulated log, list, control, targets and workers

The log, the list with its lag, control with incarnations, targets and workers serve it over HTTP on loopback, with fault switches that can be set from Go.

Silence is emulated above the kernel: a silenced connection reads and discards, and drops what is written. Dropping packets below the socket was ruled out because it needs privileges; the kernel therefore still acknowledges bytes and keepalives of a silent connection.

The tests of appendlog and target pass under the race detector; worker has no tests yet.

--- /dev/null
+++ b/standin/appendlog/http.go
@@ -0,0 +1,85 @@
+package appendlog
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/standin/reply"
+)
+
+type appendBody struct {
+	Records []json.RawMessage `json:"records"`
+}
+
+type appendAnswer struct {
+	First record.Offset `json:"first"`
+	Count int           `json:"count"`
+}
+
+// Register adds the calls of the log to mux.
+func (l *Log) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST /log/{stream}", l.serveAppend)
+	mux.HandleFunc("GET /log/{stream}", l.serveRead)
+	mux.HandleFunc("GET /-/counts", l.serveCounts)
+}
+
+func (l *Log) serveAppend(w http.ResponseWriter, r *http.Request) {
+	var body appendBody
+	if err := reply.Decode(r, &body); err != nil {
+		reply.Error(w, err)
+		return
+	}
+	first, err := l.Append(r.Context(), record.Stream(r.PathValue("stream")), body.Records)
+	if err != nil {
+		reply.Error(w, err)
+		return
+	}
+	reply.JSON(w, http.StatusOK, appendAnswer{First: first, Count: len(body.Records)})
+}
+
+func (l *Log) serveRead(w http.ResponseWriter, r *http.Request) {
+	stream := record.Stream(r.PathValue("stream"))
+	query, err := parseQuery(r)
+	if err != nil {
+		reply.Error(w, err)
+		return
+	}
+	wait := time.Duration(query.wait) * time.Millisecond
+	batch, err := l.Read(r.Context(), stream, record.Offset(query.from), int(query.limit), wait)
+	if platform.IsExpired(err) {
+		err = reply.Refuse(r.URL.Path, platform.RefusedExpired, "the offset is past the retention window")
+	}
+	if err != nil {
+		reply.Error(w, err)
+		return
+	}
+	reply.JSON(w, http.StatusOK, batch)
+}
+
+func (l *Log) serveCounts(w http.ResponseWriter, _ *http.Request) {
+	reply.JSON(w, http.StatusOK, l.Counts())
+}
+
+type readQuery struct {
+	from, limit, wait int64
+}
+
+func parseQuery(r *http.Request) (readQuery, error) {
+	query := readQuery{limit: DefaultMax}
+	for name, into := range map[string]*int64{"from": &query.from, "max": &query.limit, "wait": &query.wait} {
+		text := r.URL.Query().Get(name)
+		if text == "" {
+			continue
+		}
+		value, err := strconv.ParseInt(text, 10, 64)
+		if err != nil {
+			return readQuery{}, reply.Invalid(r.URL.Path, name+" is not a number")
+		}
+		*into = value
+	}
+	return query, nil
+}
--- /dev/null
+++ b/standin/appendlog/log_test.go
@@ -0,0 +1,146 @@
+package appendlog_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/standin/appendlog"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+var ctx = context.Background()
+
+func start(t *testing.T, retention appendlog.Retention) (*appendlog.Log, *platform.Client, *timer.Manual) {
+	t.Helper()
+	manual := timer.NewManual(time.Unix(1_000_000, 0))
+	log := appendlog.New(retention, &manual.Service)
+	mux := http.NewServeMux()
+	log.Register(mux)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	t.Cleanup(log.Close)
+	return log, &platform.Client{Base: server.URL, HTTP: server.Client()}, manual
+}
+
+func records(bodies ...string) []json.RawMessage {
+	list := make([]json.RawMessage, len(bodies))
+	for i, body := range bodies {
+		list[i] = json.RawMessage(body)
+	}
+	return list
+}
+
+// TestLostAnswer guards against an answer that is lost without the effect, or reported as a refusal.
+func TestLostAnswer(t *testing.T) {
+	log, client, _ := start(t, appendlog.Retention{})
+	require.NoError(t, log.Fault([]byte(`{"lose":1}`)))
+	_, err := client.Append(ctx, "a", records(`1`))
+	require.Equal(t, failure.OutcomeUnknown, failure.Of(err).Outcome())
+	first, err := client.Append(ctx, "a", records(`1`))
+	require.NoError(t, err)
+	require.Equal(t, record.Offset(1), first)
+	batch, err := client.Read(ctx, "a", 0, 10, 0)
+	require.NoError(t, err)
+	require.Len(t, batch.Records, 2)
+	require.Equal(t, appendlog.Count{Appends: 2, Reads: 1, Records: 2}, log.Counts()["a"])
+}
+
+// TestRetention guards against records kept past the window, and against a read that skips dropped
+// records without an error.
+func TestRetention(t *testing.T) {
+	_, client, manual := start(t, appendlog.Retention{Records: 3, Age: time.Minute})
+	_, err := client.Append(ctx, "a", records(`0`, `1`, `2`, `3`))
+	require.NoError(t, err)
+	_, err = client.Read(ctx, "a", 0, 10, 0)
+	require.True(t, platform.IsExpired(err))
+	batch, err := client.Read(ctx, "a", 1, 2, 0)
+	require.NoError(t, err)
+	require.Equal(t, record.Offset(1), batch.First)
+	require.Equal(t, record.Offset(4), batch.Next)
+	require.Equal(t, []platform.Stored{{Offset: 1, Body: records(`1`)[0]}, {Offset: 2, Body: records(`2`)[0]}}, batch.Records)
+	manual.Advance(30 * time.Second)
+	_, err = client.Append(ctx, "a", records(`4`))
+	require.NoError(t, err)
+	manual.Advance(31 * time.Second)
+	_, err = client.Read(ctx, "a", 3, 10, 0)
+	require.True(t, platform.IsExpired(err))
+	batch, err = client.Read(ctx, "a", 4, 10, 0)
+	require.NoError(t, err)
+	require.Len(t, batch.Records, 1)
+}
+
+// TestLongPoll guards against a waiting read that misses an append, ends late or outlives an outage.
+func TestLongPoll(t *testing.T) {
+	log, client, manual := start(t, appendlog.Retention{})
+	type result struct {
+		batch platform.Batch
+		err   error
+	}
+	read := func() <-chan result {
+		done := make(chan result, 1)
+		go func() {
+			batch, err := client.Read(ctx, "a", 0, 10, time.Second)
+			done <- result{batch, err}
+		}()
+		require.NoError(t, manual.Await(ctx, 1))
+		return done
+	}
+	waiting := read()
+	manual.Advance(time.Second)
+	got := <-waiting
+	require.NoError(t, got.err)
+	require.Empty(t, got.batch.Records)
+	waiting = read()
+	log.SetFaults(appendlog.Faults{Down: true})
+	require.True(t, platform.IsRefused((<-waiting).err, platform.RefusedDown))
+	_, err := client.Append(ctx, "a", records(`0`))
+	require.True(t, platform.IsRefused(err, platform.RefusedDown))
+	log.SetFaults(appendlog.Faults{})
+	manual.Advance(time.Second)
+	waiting = read()
+	_, err = log.Append(ctx, "a", records(`0`))
+	require.NoError(t, err)
+	require.Len(t, (<-waiting).batch.Records, 1)
+}
+
+// TestSlowAppend guards against a slow append that is undone when its caller gives up.
+func TestSlowAppend(t *testing.T) {
+	log, client, manual := start(t, appendlog.Retention{})
+	log.SetFaults(appendlog.Faults{Slow: 500})
+	short, cancel := context.WithCancel(ctx)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := client.Append(short, "a", records(`0`))
+		failed <- err
+	}()
+	require.NoError(t, manual.Await(ctx, 1))
+	cancel()
+	require.Equal(t, failure.OutcomeUnknown, failure.Of(<-failed).Outcome())
+	require.Zero(t, log.Counts()["a"].Records)
+	manual.Advance(500 * time.Millisecond)
+	require.Eventually(t, func() bool { return log.Counts()["a"].Records == 1 }, 10*time.Second, time.Millisecond)
+}
+
+// TestRate guards against an append rate above the limit of the platform.
+func TestRate(t *testing.T) {
+	log, client, manual := start(t, appendlog.Retention{})
+	log.SetFaults(appendlog.Faults{Rate: 2})
+	for range 2 {
+		_, err := client.Append(ctx, "a", records(`0`))
+		require.NoError(t, err)
+	}
+	_, err := client.Append(ctx, "a", records(`0`))
+	require.True(t, platform.IsRefused(err, platform.RefusedFull))
+	manual.Advance(500 * time.Millisecond)
+	_, err = client.Append(ctx, "a", records(`0`))
+	require.NoError(t, err)
+}
--- /dev/null
+++ b/standin/worker/task.go
@@ -0,0 +1,222 @@
+package worker
+
+import (
+	"slices"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/standin/machine"
+	"hibiscuslane.example/hibiscuslane/standin/reply"
+)
+
+// start starts a task under its lease.
+func (w *Worker) start(task platform.Task) error {
+	call := "start of task " + string(task.Task)
+	if err := check(call, task); err != nil {
+		return err
+	}
+	hold, err := w.Begin(call, task.Incarnation, 0)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	defer w.unlock()
+	if err := w.admitLocked(call, task); err != nil {
+		w.ended = append(w.ended, hold)
+		return err
+	}
+	w.startLocked(task, hold)
+	return nil
+}
+
+func check(call string, task platform.Task) error {
+	switch {
+	case task.Task == "":
+		return reply.Invalid(call, "task is missing")
+	case !validLease(task.Lease):
+		return reply.Invalid(call, "lease must be from 1 ms to 24 h")
+	case task.Cores < 0 || task.Memory < 0 || task.Accelerators < 0:
+		return reply.Invalid(call, "cores, memory and accelerators must not be negative")
+	}
+	return nil
+}
+
+// maxLease bounds a lease, in milliseconds.
+const maxLease = 24 * 60 * 60 * 1000
+
+func validLease(ms int64) bool { return ms > 0 && ms <= maxLease }
+
+func (w *Worker) admitLocked(call string, task platform.Task) error {
+	if task.Epoch <= w.epochs[task.Task] {
+		return reply.Refuse(call, platform.RefusedEpoch, "the epoch is not higher than the last one")
+	}
+	need := resources{cores: task.Cores, memory: task.Memory, accelerators: task.Accelerators}
+	for id, r := range w.runs {
+		if id != task.Task {
+			need = need.plus(r.reserved())
+		}
+	}
+	if !need.within(w.capacity) {
+		return reply.Refuse(call, platform.RefusedFull, "not enough free cores, memory or accelerators")
+	}
+	return nil
+}
+
+func (w *Worker) startLocked(task platform.Task, hold *machine.Hold) {
+	if old, ok := w.runs[task.Task]; ok {
+		if old.state == platform.TaskRunning {
+			w.endLocked(old, platform.TaskStopped, "", reasonSuperseded)
+		}
+		w.order = slices.DeleteFunc(w.order, func(id platform.TaskID) bool { return id == task.Task })
+	}
+	now := w.timer.Now()
+	r := &run{
+		task: task, command: parseCommand(task), hold: hold, state: platform.TaskRunning,
+		speed: 1, done: w.checkpoints.load(task.Task), resumed: now,
+		record: Record{Task: task.Task, Epoch: task.Epoch, Incarnation: hold.Incarnation, Start: now, State: platform.TaskRunning},
+	}
+	r.samples = []sample{{at: now, cores: r.command.cores, memory: r.command.memory}}
+	w.runs[task.Task] = r
+	w.order = append(w.order, task.Task)
+	w.epochs[task.Task] = task.Epoch
+	w.pruneLocked()
+	if w.fail != "" {
+		w.endLocked(r, platform.TaskFailed, "", w.fail)
+		return
+	}
+	r.crash = hold.OnCrash(func() { w.end(r, platform.TaskStopped, "", reasonCrash) })
+	w.leaseLocked(r, task.Lease)
+	w.scheduleLocked(r)
+	w.limitMemoryLocked()
+}
+
+func (w *Worker) leaseLocked(r *run, ms int64) {
+	if r.lease != nil {
+		r.lease()
+	}
+	lease := time.Duration(ms) * time.Millisecond
+	deadline := w.timer.Now().Add(lease)
+	r.deadline = deadline
+	r.lease = w.timer.AfterFunc(lease, func() { w.lapse(r, deadline) })
+}
+
+// lapse ends a run whose lease has expired. A renewal that came first has moved the deadline.
+func (w *Worker) lapse(r *run, deadline time.Time) {
+	w.mu.Lock()
+	defer w.unlock()
+	if r.state == platform.TaskRunning && r.deadline.Equal(deadline) {
+		w.endLocked(r, platform.TaskLapsed, "", reasonLease)
+	}
+}
+
+// scheduleLocked arranges the end of the run at its present speed.
+func (w *Worker) scheduleLocked(r *run) {
+	if r.finish != nil {
+		r.finish()
+	}
+	remaining := r.command.runtime - r.done
+	if remaining <= 0 {
+		w.completeLocked(r)
+		return
+	}
+	speed := r.speed
+	r.finish = w.timer.AfterFunc(time.Duration(float64(remaining)/speed), func() { w.complete(r, speed) })
+}
+
+// complete ends a run at the end of its run time, unless its speed has changed since the callback was
+// arranged.
+func (w *Worker) complete(r *run, speed float64) {
+	w.mu.Lock()
+	defer w.unlock()
+	if r.state == platform.TaskRunning && r.speed == speed {
+		w.completeLocked(r)
+	}
+}
+
+func (w *Worker) completeLocked(r *run) {
+	w.checkpoints.remove(r.task.Task)
+	if r.command.failure != "" {
+		w.endLocked(r, platform.TaskFailed, "", r.command.failure)
+		return
+	}
+	w.endLocked(r, platform.TaskDone, r.command.output, "")
+}
+
+// limitMemoryLocked fails the tasks that exceed their declared memory most until the memory in use
+// fits the worker.
+func (w *Worker) limitMemoryLocked() {
+	for {
+		used := 0
+		var worst *run
+		for _, id := range w.order {
+			r := w.runs[id]
+			if r.state != platform.TaskRunning {
+				continue
+			}
+			used += r.command.memory
+			if worst == nil || r.excess() > worst.excess() {
+				worst = r
+			}
+		}
+		if used <= w.capacity.memory || worst == nil {
+			return
+		}
+		w.endLocked(worst, platform.TaskFailed, "", reasonMemory)
+	}
+}
+
+func (r *run) excess() int { return r.command.memory - r.task.Memory }
+
+// apply calls do for the run of a task, after a check of its epoch.
+func (w *Worker) apply(call string, id platform.TaskID, body verbBody, do func(*run, verbBody) error) error {
+	w.mu.Lock()
+	defer w.unlock()
+	r, ok := w.runs[id]
+	if !ok {
+		return reply.Refuse(call, platform.RefusedMissing, "the worker has no such task")
+	}
+	if r.task.Epoch != body.Epoch {
+		return reply.Refuse(call, platform.RefusedEpoch, "another epoch is current")
+	}
+	return do(r, body)
+}
+
+func (w *Worker) renew(r *run, body verbBody) error {
+	if !validLease(body.Lease) {
+		return reply.Invalid("renew", "lease must be from 1 ms to 24 h")
+	}
+	if r.state != platform.TaskRunning {
+		return reply.Refuse("renew", platform.RefusedMissing, "the task has ended")
+	}
+	w.leaseLocked(r, body.Lease)
+	return nil
+}
+
+func (w *Worker) stop(r *run, _ verbBody) error {
+	if r.state == platform.TaskRunning {
+		w.endLocked(r, platform.TaskStopped, "", reasonStop)
+	}
+	return nil
+}
+
+// checkpoint saves the progress of a task and stops it. A later epoch resumes from there.
+func (w *Worker) checkpoint(r *run, _ verbBody) error {
+	if r.state == platform.TaskRunning {
+		w.checkpoints.save(r.task.Task, r.progress(w.timer.Now()))
+		w.endLocked(r, platform.TaskStopped, "", reasonCheckpoint)
+	}
+	return nil
+}
+
+// throttle halves the speed of a task for the rest of its epoch.
+func (w *Worker) throttle(r *run, _ verbBody) error {
+	if r.state != platform.TaskRunning || r.speed < 1 {
+		return nil
+	}
+	now := w.timer.Now()
+	r.done, r.resumed = r.progress(now), now
+	r.speed = throttledSpeed
+	r.samples = append(r.samples, sample{at: now, cores: r.command.cores * throttledSpeed, memory: r.command.memory})
+	w.scheduleLocked(r)
+	return nil
+}
