fleet: state folded from the fleet stream

Cause: planner, route and slot need one answer to which pool an instance belongs to, and entries with equal offsets must agree on it.

A drain record additionally names the floor of its pool and kind and the limits of its rack and data centre, and the fold checks them. Ruled out: the instance's version as the only precondition. Two planners that drain different instances of a pool at the same moment would both pass it, and the pool would fall below its availability budget.

Instances carry the times of their last join and last change of phase. They are used for scheduling only, and are stored as milliseconds because time.Time has values that it cannot encode again.

--- /dev/null
+++ b/fleet/error.go
@@ -0,0 +1,57 @@
+package fleet
+
+import (
+	"fmt"
+
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/record"
+)
+
+// KindError reports a record of a kind that the fleet stream does not have.
+type KindError struct {
+	Kind record.Kind
+}
+
+func (e *KindError) Error() string { return fmt.Sprintf("record kind %q is unknown", e.Kind) }
+
+// Code implements failure.Coded.
+func (e *KindError) Code() failure.Code { return failure.CodeInvalid }
+
+// Outcome implements failure.Coded.
+func (e *KindError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// FieldError reports a field of a record that breaks a rule.
+type FieldError struct {
+	Field string
+	Rule  string
+}
+
+func (e *FieldError) Error() string { return "field " + e.Field + " " + e.Rule }
+
+// Code implements failure.Coded.
+func (e *FieldError) Code() failure.Code { return failure.CodeInvalid }
+
+// Outcome implements failure.Coded.
+func (e *FieldError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// SnapshotError reports a snapshot of the fleet state that is malformed or contradicts itself.
+type SnapshotError struct {
+	Reason string
+	Cause  error
+}
+
+func (e *SnapshotError) Error() string {
+	if e.Cause == nil {
+		return "fleet snapshot is invalid: " + e.Reason
+	}
+	return fmt.Sprintf("fleet snapshot is invalid: %s: %v", e.Reason, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *SnapshotError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Coded.
+func (e *SnapshotError) Code() failure.Code { return failure.CodeInvalid }
+
+// Outcome implements failure.Coded.
+func (e *SnapshotError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
--- /dev/null
+++ b/fleet/index.go
@@ -0,0 +1,132 @@
+package fleet
+
+import (
+	"slices"
+
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/site"
+)
+
+// Counts is the number of instances by phase.
+type Counts struct {
+	Active   int `json:"active"`
+	Draining int `json:"draining"`
+	Lost     int `json:"lost"`
+}
+
+// Total returns the number of instances in all phases.
+func (c Counts) Total() int { return c.Active + c.Draining + c.Lost }
+
+func (c *Counts) add(phase instance.Phase, n int) {
+	switch phase {
+	case instance.PhaseActive:
+		c.Active += n
+	case instance.PhaseDraining:
+		c.Draining += n
+	case instance.PhaseLost:
+		c.Lost += n
+	}
+}
+
+// group is a pool restricted to one kind of instance.
+type group struct {
+	pool pool.Name
+	kind instance.Kind
+}
+
+// domain is a failure domain: a rack, or a whole data centre if rack is empty.
+type domain struct {
+	centre site.DataCentre
+	rack   site.Rack
+}
+
+type groupEntry struct {
+	// members is sorted by id and replaced, never modified, because readers share it.
+	members []Instance
+	counts  Counts
+}
+
+// index answers the reads of the request path without a scan of the fleet.
+type index struct {
+	groups map[group]groupEntry
+	// draining counts the draining instances of each failure domain.
+	draining map[domain]int
+}
+
+func groupOf(i Instance) group   { return group{pool: i.Pool, kind: i.Kind} }
+func rackOf(i Instance) domain   { return domain{centre: i.Centre, rack: i.Rack} }
+func centreOf(i Instance) domain { return domain{centre: i.Centre} }
+func isDraining(i Instance) bool { return i.Phase == instance.PhaseDraining }
+
+func (x *index) members(name pool.Name, kind instance.Kind) []Instance {
+	return x.groups[group{pool: name, kind: kind}].members
+}
+
+func (x *index) counts(name pool.Name, kind instance.Kind) Counts {
+	return x.groups[group{pool: name, kind: kind}].counts
+}
+
+// build fills the index from all instances at once.
+func (x *index) build(instances []Instance) {
+	x.groups = map[group]groupEntry{}
+	x.draining = map[domain]int{}
+	for _, i := range instances {
+		entry := x.groups[groupOf(i)]
+		entry.members = append(entry.members, i)
+		entry.counts.add(i.Phase, 1)
+		x.groups[groupOf(i)] = entry
+		x.countDraining(i, 1)
+	}
+	for _, entry := range x.groups {
+		slices.SortFunc(entry.members, compare)
+	}
+}
+
+// replace exchanges one instance for its next version. A zero before is an addition, a zero after a
+// removal.
+func (x *index) replace(before, after Instance) {
+	if x.groups == nil {
+		x.build(nil)
+	}
+	if before.ID != "" {
+		x.countDraining(before, -1)
+		x.remove(before)
+	}
+	if after.ID != "" {
+		x.countDraining(after, 1)
+		x.insert(after)
+	}
+}
+
+func (x *index) remove(i Instance) {
+	entry := x.groups[groupOf(i)]
+	at, _ := slices.BinarySearchFunc(entry.members, i, compare)
+	entry.members = slices.Concat(entry.members[:at], entry.members[at+1:])
+	entry.counts.add(i.Phase, -1)
+	if len(entry.members) == 0 {
+		delete(x.groups, groupOf(i))
+		return
+	}
+	x.groups[groupOf(i)] = entry
+}
+
+func (x *index) insert(i Instance) {
+	entry := x.groups[groupOf(i)]
+	at, _ := slices.BinarySearchFunc(entry.members, i, compare)
+	entry.members = slices.Concat(entry.members[:at], []Instance{i}, entry.members[at:])
+	entry.counts.add(i.Phase, 1)
+	x.groups[groupOf(i)] = entry
+}
+
+func (x *index) countDraining(i Instance, n int) {
+	if !isDraining(i) {
+		return
+	}
+	for _, d := range []domain{rackOf(i), centreOf(i)} {
+		x.draining[d] += n
+		if x.draining[d] == 0 {
+			delete(x.draining, d)
+		}
+	}
+}
--- a/fleet/instance.go
+++ b/fleet/instance.go
@@ -3,6 +3,8 @@
 package fleet
 
 import (
+	"time"
+
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/site"
@@ -30,4 +32,19 @@
 	Cores        int `json:"cores,omitempty"`
 	Memory       int `json:"memory,omitempty"`
 	Accelerators int `json:"accelerators,omitempty"`
+	// Joined is the time of the last admit or join record, and Since that of the last change of
+	// phase, by the clocks of the authors. They serve scheduling only and never decide between
+	// records.
+	Joined Time `json:"joined"`
+	Since  Time `json:"since"`
 }
+
+// Time is a time of a record in milliseconds since 1970. Unlike time.Time, each value has exactly one
+// JSON form, so equal states have equal digests.
+type Time int64
+
+// At returns t as a record time.
+func At(t time.Time) Time { return Time(t.UnixMilli()) }
+
+// Std returns the time in the form of the standard library.
+func (t Time) Std() time.Time { return time.UnixMilli(int64(t)).UTC() }
