Transport that sends a request once and proves what became of it

TestPlainTransportResends shows it: one call, one 200, two executions. GET, HEAD, OPTIONS and TRACE are resent as well, outside any retry budget.

Ruled out: dropping GetBody or wrapping the body. isReplayable also holds for a nil or empty body, so every GET and an empty POST with a key would still be resent, and a resend of a request of which nothing was written stays possible for reused connections. Removing the key header would change the request that the target sees. DisableKeepAlives costs a connection for each request.

Done: package target takes connections from http.Transport.NewClientConn, which carries a request on exactly one connection and has no resend, and keeps them itself, bounded by the share of the entry. Bytes are counted in net.Conn.Write, which is sealed before the outcome is decided, so that "nothing was written" cannot be refuted by a write in progress. A response without a length is refused, because a truncated one would look the same.

--- /dev/null
+++ b/target/resend_test.go
@@ -0,0 +1,120 @@
+package target_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/target"
+)
+
+// dropper executes every request, and closes the connection without a response to the first request
+// for /drop.
+type dropper struct {
+	executed atomic.Int64
+	dropped  atomic.Bool
+}
+
+func (d *dropper) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.Header().Set(platform.HeaderRequest, r.Header.Get(platform.HeaderRequest))
+	if r.URL.Path != "/drop" {
+		return
+	}
+	d.executed.Add(1)
+	if d.dropped.CompareAndSwap(false, true) {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func serve(t *testing.T, handler http.Handler) instance.Address {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	return instance.Address(strings.TrimPrefix(server.URL, "http://"))
+}
+
+func testContext(t *testing.T, d time.Duration) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func request(address instance.Address, id target.RequestID, method, uri string) target.Request {
+	return target.Request{
+		ID: id, Target: "target-1", Address: address, Incarnation: 1, Method: method, URI: uri,
+		Header: http.Header{}, Connections: 8,
+	}
+}
+
+// TestPlainTransportResends shows the defect that this package exists to exclude: net/http executes a
+// request twice while the caller sees one success. If it fails after an upgrade of Go, the transport
+// has changed and the reasons given in this package need a review.
+func TestPlainTransportResends(t *testing.T) {
+	d := &dropper{}
+	base := "http://" + string(serve(t, d))
+	plain := &http.Transport{}
+	defer plain.CloseIdleConnections()
+	send := func(path string) (*http.Response, error) {
+		r, err := http.NewRequestWithContext(testContext(t, 5*time.Second), http.MethodPost, base+path, strings.NewReader("body"))
+		require.NoError(t, err)
+		r.Header.Set("Idempotency-Key", "k")
+		return plain.RoundTrip(r)
+	}
+	for _, path := range []string{"/warm", "/drop"} {
+		response, err := send(path)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, response.StatusCode)
+		_, _ = io.Copy(io.Discard, response.Body)
+		require.NoError(t, response.Body.Close())
+	}
+	require.Equal(t, int64(2), d.executed.Load(), "one call, two executions")
+}
+
+// TestNoResend guards against a second execution of a request whose connection closed before the
+// response, for all methods and bodies that net/http treats as replayable.
+func TestNoResend(t *testing.T) {
+	methods := []string{
+		http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace,
+		http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
+	}
+	for _, method := range methods {
+		for _, body := range []string{"", "body", strings.Repeat("x", 1<<20)} {
+			for _, reused := range []bool{true, false} {
+				sendDropped(t, method, body, reused)
+			}
+		}
+	}
+}
+
+func sendDropped(t *testing.T, method, body string, reused bool) {
+	t.Helper()
+	d := &dropper{}
+	address := serve(t, d)
+	transport := &target.Transport{}
+	if reused {
+		_, err := transport.Send(testContext(t, 5*time.Second), request(address, "warm", method, "/warm"))
+		require.NoError(t, err)
+	}
+	r := request(address, "r", method, "/drop")
+	r.Header.Set("Idempotency-Key", "k")
+	r.Header.Set("X-Idempotency-Key", "k")
+	r.Body = []byte(body)
+	_, err := transport.Send(testContext(t, 5*time.Second), r)
+	var broken *target.BrokenError
+	require.ErrorAs(t, err, &broken, "%s with %d bytes", method, len(body))
+	require.Equal(t, failure.OutcomeUnknown, broken.Outcome())
+	require.Equal(t, !reused, broken.Fresh)
+	require.Equal(t, int64(1), d.executed.Load(), "%s with %d bytes", method, len(body))
+}
--- /dev/null
+++ b/target/socket_linux.go
@@ -0,0 +1,24 @@
+package target
+
+import (
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// setUserTimeout bounds the time that written data, or a keepalive probe, may stay unacknowledged.
+// Without it Linux retransmits for about 15 minutes before it reports a dead connection.
+func setUserTimeout(raw syscall.RawConn, d time.Duration) error {
+	if d <= 0 {
+		return nil
+	}
+	var failed error
+	err := raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return failed
+}
--- /dev/null
+++ b/target/transport_test.go
@@ -0,0 +1,195 @@
+package target_test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/target"
+)
+
+// TestOutcomes guards against an outcome without proof and against the wrong response.
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		name    string
+		handler func(w http.ResponseWriter, r *http.Request)
+		outcome failure.Outcome
+		code    failure.Code
+	}{
+		{"refusal", answer(http.StatusConflict, "r", "draining"), failure.OutcomeNotRun, failure.CodeRefused},
+		{"full", answer(http.StatusServiceUnavailable, "r", "full"), failure.OutcomeNotRun, failure.CodeRefused},
+		{"refusal with a status of success", answer(http.StatusOK, "r", "full"), failure.OutcomeUnknown, failure.CodeBroken},
+		{"refusal with an unknown word", answer(http.StatusConflict, "r", "tired"), failure.OutcomeUnknown, failure.CodeBroken},
+		{"refusal of another request", answer(http.StatusConflict, "other", "full"), failure.OutcomeUnknown, failure.CodeBroken},
+		{"response to another request", answer(http.StatusOK, "other", ""), failure.OutcomeUnknown, failure.CodeBroken},
+		{"response without an id", answer(http.StatusOK, "", ""), failure.OutcomeUnknown, failure.CodeBroken},
+		{"response with two ids", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header()[platform.HeaderRequest] = []string{"r", "other"}
+		}, failure.OutcomeUnknown, failure.CodeBroken},
+		{"truncated by length", raw("HTTP/1.1 200 OK\r\nPlatform-Request: r\r\nContent-Length: 9\r\n\r\nhalf"), failure.OutcomeUnknown, failure.CodeBroken},
+		{"truncated by chunk", raw("HTTP/1.1 200 OK\r\nPlatform-Request: r\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), failure.OutcomeUnknown, failure.CodeBroken},
+		{"length not given", raw("HTTP/1.1 200 OK\r\nPlatform-Request: r\r\nConnection: close\r\n\r\nperhaps half"), failure.OutcomeUnknown, failure.CodeBroken},
+		{"switch of protocols", raw("HTTP/1.1 101 Switching Protocols\r\nPlatform-Request: r\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"), failure.OutcomeUnknown, failure.CodeBroken},
+		{"no response in time", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, failure.OutcomeUnknown, failure.CodeDeadline},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			transport := &target.Transport{}
+			address := serve(t, http.HandlerFunc(c.handler))
+			response, err := transport.Send(testContext(t, time.Second), request(address, "r", http.MethodGet, "/"))
+			require.Error(t, err)
+			require.Nil(t, response)
+			coded := failure.Of(err)
+			require.Equal(t, c.outcome, coded.Outcome())
+			require.Equal(t, c.code, coded.Code())
+		})
+	}
+}
+
+func answer(status int, id, refused string) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if id != "" {
+			w.Header().Set(platform.HeaderRequest, id)
+		}
+		if refused != "" {
+			w.Header().Set(platform.HeaderRefused, refused)
+		}
+		w.WriteHeader(status)
+	}
+}
+
+// raw writes a response as bytes and closes the connection.
+func raw(response string) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		connection, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(connection, response)
+		_ = connection.Close()
+	}
+}
+
+// TestUnreachable guards against an unknown outcome when no connection exists.
+func TestUnreachable(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	address := instance.Address(listener.Addr().String())
+	require.NoError(t, listener.Close())
+	transport := &target.Transport{}
+	_, err = transport.Send(testContext(t, time.Second), request(address, "r", http.MethodPost, "/"))
+	require.True(t, target.IsUnreachable(err))
+	require.Equal(t, failure.OutcomeNotRun, failure.Of(err).Outcome())
+}
+
+// echo repeats the body as often as the header Times says.
+func echo(w http.ResponseWriter, r *http.Request) {
+	data, _ := io.ReadAll(r.Body)
+	times, _ := strconv.Atoi(r.Header.Get("Times"))
+	w.Header().Set(platform.HeaderRequest, r.Header.Get(platform.HeaderRequest))
+	for range times {
+		_, _ = w.Write(data)
+	}
+	if r.Header.Get("Break") != "" {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// TestSizes guards against a response that is cut or changed at the limit between buffer and stream.
+func TestSizes(t *testing.T) {
+	address := serve(t, http.HandlerFunc(echo))
+	transport := &target.Transport{}
+	const unit = 1 << 16
+	for _, times := range []int{0, 1, 16, 17, 64} {
+		r := request(address, "r", http.MethodPost, "/")
+		r.Body = bytes.Repeat([]byte("0123456789abcdef"), unit/16)
+		r.Header.Set("Times", strconv.Itoa(times))
+		response, err := transport.Send(testContext(t, 5*time.Second), r)
+		require.NoError(t, err)
+		got := response.Body
+		require.Equal(t, times*unit > 1<<20, response.Stream != nil)
+		if response.Stream != nil {
+			got, err = io.ReadAll(response.Stream)
+			require.NoError(t, err)
+			require.NoError(t, response.Stream.Close())
+		}
+		require.Equal(t, bytes.Repeat(r.Body, times), append([]byte{}, got...))
+	}
+}
+
+// TestBrokenStream guards against a truncated large response that looks complete.
+func TestBrokenStream(t *testing.T) {
+	address := serve(t, http.HandlerFunc(echo))
+	r := request(address, "r", http.MethodPost, "/")
+	r.Body = make([]byte, 1<<20)
+	r.Header.Set("Times", "3")
+	r.Header.Set("Break", "yes")
+	response, err := (&target.Transport{}).Send(testContext(t, 5*time.Second), r)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, response.Stream)
+	require.True(t, target.IsBroken(err), "%v", err)
+	require.NoError(t, response.Stream.Close())
+	_, err = response.Stream.Read(make([]byte, 1))
+	require.True(t, target.IsBroken(err), "%v", err)
+}
+
+// TestConnectionShare guards against more connections than the share, and against a request that
+// waits for one being reported as possibly executed.
+func TestConnectionShare(t *testing.T) {
+	const share = 3
+	var mu sync.Mutex
+	present, most := 0, 0
+	change := func(n int) {
+		mu.Lock()
+		defer mu.Unlock()
+		present += n
+		most = max(most, present)
+	}
+	enough, hold := make(chan struct{}, share), make(chan struct{})
+	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		change(1)
+		defer change(-1)
+		select {
+		case enough <- struct{}{}:
+		default:
+		}
+		<-hold
+		echo(w, r)
+	}))
+	transport := &target.Transport{}
+	send := func(ctx context.Context, id string) error {
+		r := request(address, target.RequestID(id), http.MethodPost, "/")
+		r.Connections = share
+		_, err := transport.Send(ctx, r)
+		return err
+	}
+	var group sync.WaitGroup
+	errs := make(chan error, 20)
+	for i := range cap(errs) {
+		group.Go(func() { errs <- send(testContext(t, 10*time.Second), strconv.Itoa(i)) })
+	}
+	for range share {
+		<-enough
+	}
+	err := send(testContext(t, 50*time.Millisecond), "late")
+	require.Equal(t, failure.OutcomeNotRun, failure.Of(err).Outcome())
+	require.Equal(t, failure.CodeDeadline, failure.Of(err).Code())
+	close(hold)
+	group.Wait()
+	close(errs)
+	for err := range errs {
+		require.NoError(t, err)
+	}
+	require.Equal(t, share, most)
+}
