Table of targets with leaving, ejection and probing

Cause: requests need the targets of a pool that take work now, in the stable order that slot.Capacity asks for.

Done: package route merges the fleet state, the platform's list and refusals. The list and refusals raise the lowest usable incarnation of a target and never lower it, so the earliest source counts and one that lags cannot bring a leaving target back; only a join with a higher incarnation does. Three consecutive failures of new connections eject a target for 1 s, doubling up to 1 min, and a probe connection ends it. At most half of the targets of a pool that take work are ejected, also when the pool shrinks afterwards. target.Health maps the error of a try to a result; a dead or old connection does not count.

Ruled out: probing with real requests, which costs callers a failed try for each probe; clearing a refusal when a later list shows the target as live, because the list lags.

Figures: TestLeaving: no new work from the moment any of the sources says so (bound 3 s), checked for 4 s of manual time against lagging sources. Lookups at the time of sending and the limits Wait and Dial, 1 s each, keep an older choice below 3 s.

Conclusion: Usable and Lookup are ready for slot and request. docs/events.md still lacks the events 1810 to 1813 and 1900.

--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,174 @@
+package route_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hibiscuslane.example/hibiscuslane/fleet"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/route"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+const name pool.Name = "a"
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func targets(n int) []fleet.Instance {
+	instances := make([]fleet.Instance, 0, n)
+	for i := range n {
+		id := instance.ID(fmt.Sprintf("t%02d", i))
+		instances = append(instances, fleet.Instance{
+			ID: id, Kind: instance.KindTarget, Address: instance.Address(id), Pool: name,
+			Phase: instance.PhaseActive, Incarnation: 5,
+		})
+	}
+	return instances
+}
+
+func newTable(n int) (*route.Table, *timer.Manual) {
+	clock := timer.NewManual(epoch)
+	table := &route.Table{Timer: &clock.Service}
+	table.Update(targets(n))
+	return table, clock
+}
+
+// TestLeaving guards against new work for a target that leaves, from whichever source this is known
+// first, and against its return before the next incarnation because another source lags.
+func TestLeaving(t *testing.T) {
+	const id instance.ID = "t01"
+	listing := platform.Listing{ID: id, Kind: instance.KindTarget, Incarnation: 5, State: platform.StateLive}
+	draining := targets(3)
+	draining[1].Phase, draining[1].Next = instance.PhaseDraining, name
+	cases := map[string]func(table *route.Table){
+		"fleet": func(table *route.Table) { table.Update(draining) },
+		"list": func(table *route.Table) {
+			leaving := listing
+			leaving.State = platform.StateLeaving
+			table.List([]platform.Listing{leaving})
+		},
+		"refusal":             func(table *route.Table) { table.Refused(id, 5, platform.RefusedDraining) },
+		"incarnation refused": func(table *route.Table) { table.Refused(id, 5, platform.RefusedIncarnation) },
+		"list is ahead": func(table *route.Table) {
+			rebooted := listing
+			rebooted.Incarnation = 6
+			table.List([]platform.Listing{rebooted})
+		},
+	}
+	for source, leave := range cases {
+		t.Run(source, func(t *testing.T) {
+			table, clock := newTable(3)
+			require.Equal(t, []instance.ID{"t00", id, "t02"}, table.Usable(name))
+			leave(table)
+			for range 4 {
+				require.Equal(t, []instance.ID{"t00", "t02"}, table.Usable(name))
+				got, ok := table.Lookup(id)
+				require.True(t, ok)
+				require.Equal(t, instance.PhaseDraining, got.Phase)
+				clock.Advance(time.Second)
+				table.List([]platform.Listing{listing})
+				if source != "fleet" {
+					table.Update(targets(3))
+				}
+			}
+			joined := targets(3)
+			joined[1].Incarnation = 6
+			table.Update(joined)
+			require.Equal(t, []instance.ID{"t00", id, "t02"}, table.Usable(name))
+		})
+	}
+	table, _ := newTable(3)
+	table.Refused(id, 4, platform.RefusedDraining)
+	table.Refused(id, 5, platform.RefusedFull)
+	require.Len(t, table.Usable(name), 3, "late refusals and a full target are no reason")
+}
+
+// TestEjectionShare guards against a pool that loses more than half of its targets to ejection,
+// whatever fails, and whichever targets leave afterwards.
+func TestEjectionShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "targets")
+		table, clock := newTable(n)
+		instances := targets(n)
+		for _, step := range rapid.SliceOfN(rapid.IntRange(0, 99), 1, 200).Draw(t, "steps") {
+			i := step % n
+			switch {
+			case step < 80:
+				table.Report(instances[i].ID, 5, route.ResultFailed)
+			case step < 90:
+				table.Report(instances[i].ID, 5, route.ResultAnswered)
+			case step < 95:
+				clock.Advance(time.Second)
+				table.Check(context.Background(), prober{fail: step%2 == 0})
+			default:
+				instances[i].Phase = instance.PhaseDraining
+				table.Update(instances)
+			}
+			active := 0
+			for _, known := range instances {
+				if known.Phase == instance.PhaseActive {
+					active++
+				}
+			}
+			require.GreaterOrEqual(t, len(table.Usable(name)), active-active/2)
+		}
+	})
+}
+
+type prober struct{ fail bool }
+
+func (p prober) Probe(context.Context, instance.Address) error {
+	if p.fail {
+		return context.DeadlineExceeded
+	}
+	return nil
+}
+
+// TestEjectionTimes guards against a failing target that is probed as often as a healthy one, and
+// against one that is never restored.
+func TestEjectionTimes(t *testing.T) {
+	table, clock := newTable(2)
+	fail := func(times int) {
+		for range times {
+			table.Report("t00", 5, route.ResultFailed)
+		}
+	}
+	usable := func() int { return len(table.Usable(name)) }
+	fail(2)
+	require.Equal(t, 2, usable())
+	table.Report("t00", 5, route.ResultAnswered)
+	fail(2)
+	table.Report("t00", 4, route.ResultFailed)
+	table.Report("t00", 5, route.ResultNeutral)
+	require.Equal(t, 2, usable(), "failures are not consecutive, of another incarnation, or of a dead connection")
+	fail(1)
+	for _, d := range []time.Duration{1, 2, 4, 8, 16, 32, 60, 60} {
+		require.Equal(t, 1, usable())
+		clock.Advance(d*time.Second - time.Millisecond)
+		table.Check(context.Background(), prober{})
+		require.Equal(t, 1, usable(), "no probe before %d s", d)
+		clock.Advance(time.Millisecond)
+		table.Check(context.Background(), prober{fail: true})
+	}
+	clock.Advance(time.Minute)
+	table.Check(context.Background(), prober{})
+	require.Equal(t, 2, usable())
+	fail(1)
+	require.Equal(t, 1, usable(), "one failure ejects again before the first response")
+	clock.Advance(time.Minute)
+	table.Check(context.Background(), prober{})
+	table.Report("t00", 5, route.ResultAnswered)
+	fail(2)
+	require.Equal(t, 2, usable())
+	fail(1)
+	clock.Advance(time.Second)
+	table.Check(context.Background(), prober{})
+	require.Equal(t, 2, usable(), "a response makes the time short again")
+}
--- a/target/error.go
+++ b/target/error.go
@@ -70,6 +70,22 @@
 	return errors.As(err, &unreachable)
 }
 
+// BusyError reports that all connections of the share stayed in use.
+type BusyError struct {
+	Target instance.ID
+	Share  int
+}
+
+func (e *BusyError) Error() string {
+	return fmt.Sprintf("all %d connections to target %s are in use", e.Share, e.Target)
+}
+
+// Code implements failure.Coded.
+func (e *BusyError) Code() failure.Code { return failure.CodeOverloaded }
+
+// Outcome implements failure.Coded.
+func (e *BusyError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
 // BrokenError reports a connection that ended, or a response that is malformed or incomplete.
 type BrokenError struct {
 	Try
@@ -117,7 +133,9 @@
 // DeadlineError reports a request whose context ended before the whole response.
 type DeadlineError struct {
 	Try
-	Cause error
+	// Silent is true when nothing was heard for so long that the target may have stopped.
+	Silent bool
+	Cause  error
 }
 
 func (e *DeadlineError) Error() string {
--- /dev/null
+++ b/target/health.go
@@ -0,0 +1,56 @@
+package target
+
+import (
+	"context"
+	"errors"
+
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/route"
+)
+
+// Health returns what the result of Send says about the health of the target. Only failures on new
+// connections count against it: an old connection may have been closed for its age or be dead.
+func Health(err error) route.Result {
+	var dead *DeadError
+	var broken *BrokenError
+	var crossed *CrossedError
+	var deadline *DeadlineError
+	var refused *platform.RefusedError
+	switch {
+	case err == nil:
+		return route.ResultAnswered
+	case errors.As(err, &refused):
+		// A refusal is a response of the target, and leaving is not a failure.
+		return route.ResultAnswered
+	case IsUnreachable(err):
+		return route.ResultFailed
+	case errors.As(err, &dead):
+		return fresh(dead.Try)
+	case errors.As(err, &broken):
+		return fresh(broken.Try)
+	case errors.As(err, &crossed):
+		return fresh(crossed.Try)
+	case errors.As(err, &deadline) && deadline.Silent:
+		// A target that has stopped still accepts connections, because its kernel does so.
+		return fresh(deadline.Try)
+	}
+	return route.ResultNeutral
+}
+
+func fresh(try Try) route.Result {
+	if try.Fresh {
+		return route.ResultFailed
+	}
+	return route.ResultNeutral
+}
+
+// Probe opens a new connection to a target and closes it. It implements route.Prober.
+func (t *Transport) Probe(ctx context.Context, address instance.Address) error {
+	l, err := t.dial(ctx, address)
+	if err != nil {
+		return &UnreachableError{Target: instance.ID(address), Cause: err}
+	}
+	l.close()
+	return nil
+}
--- a/target/host.go
+++ b/target/host.go
@@ -58,6 +58,13 @@
 	t.forgetLocked(h)
 }
 
+// pin keeps a host that has an open connection until leave is called.
+func (t *Transport) pin(h *host) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h.users++
+}
+
 // forget removes the host if it has become unused.
 func (t *Transport) forget(h *host) {
 	t.mu.Lock()
@@ -76,32 +83,45 @@
 	}
 }
 
-// acquire returns an idle link or dials one. dialErr is set when the target could not be reached;
-// waitErr when ctx ended while all connections of the share were in use.
-func (t *Transport) acquire(ctx context.Context, h *host, share int) (l *link, dialErr, waitErr error) {
+// acquire returns an idle link or dials one.
+func (t *Transport) acquire(ctx context.Context, h *host, r *Request) (*link, error) {
+	share := max(r.Connections, 1)
+	waitCtx, cancel := t.Timer.WithTimeout(ctx, t.limits().Wait)
+	defer cancel()
 	for {
-		l, wait := t.take(h, max(share, 1))
+		l, wait := t.take(h, share)
 		if l != nil {
-			return l, nil, nil
+			return l, nil
 		}
 		if wait == nil {
-			l, err := t.dial(ctx, h.address)
-			if err != nil {
-				h.drop()
-				return nil, err, nil
-			}
-			h.established(l)
-			return l, nil, nil
+			return t.open(ctx, h, r)
 		}
 		select {
 		case <-wait:
-		case <-ctx.Done():
+		case <-waitCtx.Done():
 			h.cancelWait(wait)
-			return nil, nil, context.Cause(ctx)
+			if ctx.Err() != nil {
+				return nil, &DeadlineError{Try: Try{Target: r.Target}, Cause: context.Cause(ctx)}
+			}
+			return nil, &BusyError{Target: r.Target, Share: share}
 		}
 	}
 }
 
+// open dials a link whose place is taken already.
+func (t *Transport) open(ctx context.Context, h *host, r *Request) (*link, error) {
+	l, err := t.dial(ctx, h.address)
+	if err == nil {
+		h.established(l)
+		return l, nil
+	}
+	h.drop()
+	if ctx.Err() != nil {
+		return nil, &DeadlineError{Try: Try{Target: r.Target}, Cause: err}
+	}
+	return nil, &UnreachableError{Target: r.Target, Cause: err}
+}
+
 // take returns an idle link, or nil and a channel to wait on, or nil and nil when the caller has to
 // dial; the new link is counted already.
 func (t *Transport) take(h *host, share int) (*link, chan struct{}) {
@@ -160,7 +180,7 @@
 	h.reaping = true
 	h.mu.Unlock()
 	if schedule {
-		t.enter(h.address)
+		t.pin(h)
 		t.Timer.AfterFunc(t.limits().Idle, func() { t.reap(h) })
 	}
 }
--- a/target/limits.go
+++ b/target/limits.go
@@ -21,6 +21,10 @@
 type Limits struct {
 	// Dial bounds the establishment of a connection; default 1 s.
 	Dial time.Duration
+	// Wait bounds the wait for a connection while the share is used up; default 1 s. Together with Dial it
+	// keeps a request from reaching a target more than 2 s after the target was looked up, within the 3 s
+	// after which a leaving target receives no new work.
+	Wait time.Duration
 	// Idle is the time after which an unused connection is closed; default 2 s.
 	Idle time.Duration
 	// Age is the time after which a connection takes no further request; default 1 min.
@@ -47,6 +51,7 @@
 func (t *Transport) limits() Limits {
 	l := t.Limits
 	l.Dial = orDefault(l.Dial, time.Second)
+	l.Wait = orDefault(l.Wait, time.Second)
 	l.Idle = orDefault(l.Idle, 2*time.Second)
 	l.Age = orDefault(l.Age, time.Minute)
 	l.KeepaliveIdle = orDefault(l.KeepaliveIdle, time.Second)
--- a/target/resend_test.go
+++ b/target/resend_test.go
@@ -37,14 +37,14 @@
 	}
 }
 
-func serve(t *testing.T, handler http.Handler) instance.Address {
+func serve(t testing.TB, handler http.Handler) instance.Address {
 	t.Helper()
 	server := httptest.NewServer(handler)
 	t.Cleanup(server.Close)
 	return instance.Address(strings.TrimPrefix(server.URL, "http://"))
 }
 
-func testContext(t *testing.T, d time.Duration) context.Context {
+func testContext(t testing.TB, d time.Duration) context.Context {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), d)
 	t.Cleanup(cancel)
--- a/target/response.go
+++ b/target/response.go
@@ -104,6 +104,8 @@
 	if s.err != nil {
 		return s.err
 	}
+	// Send has left the host long ago.
+	defer s.exchange.transport.forget(s.exchange.host)
 	if errors.Is(cause, io.EOF) {
 		s.err = io.EOF
 		s.exchange.finish()
--- a/target/transport.go
+++ b/target/transport.go
@@ -9,6 +9,7 @@
 	"net/url"
 	"sync"
 	"syscall"
+	"time"
 
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/instance"
@@ -44,15 +45,9 @@
 	if err := ctx.Err(); err != nil {
 		return nil, &DeadlineError{Try: Try{Target: r.Target}, Cause: err}
 	}
-	l, dialErr, waitErr := t.acquire(ctx, h, r.Connections)
-	if waitErr != nil {
-		return nil, &DeadlineError{Try: Try{Target: r.Target}, Cause: waitErr}
-	}
-	if dialErr != nil && ctx.Err() != nil {
-		return nil, &DeadlineError{Try: Try{Target: r.Target}, Cause: dialErr}
-	}
-	if dialErr != nil {
-		return nil, &UnreachableError{Target: r.Target, Cause: dialErr}
+	l, err := t.acquire(ctx, h, &r)
+	if err != nil {
+		return nil, err
 	}
 	l.uses++
 	l.conn.begin()
@@ -69,20 +64,22 @@
 	request   *Request
 	cancel    context.CancelCauseFunc
 	// ctx ends with a SilenceError when the connection is given up.
-	ctx context.Context
+	ctx     context.Context
+	started time.Time
+	// patience is the silence after which an idempotent request is given up.
+	patience time.Duration
 }
 
 func (e *exchange) run(ctx context.Context, address *url.URL) (*Response, error) {
-	e.ctx = ctx
-	started := e.transport.Timer.Now()
-	stop := e.watch(started)
+	e.ctx, e.started = ctx, e.transport.Timer.Now()
+	stop := e.watch()
 	raw, err := e.link.client.RoundTrip(e.build(ctx, address))
 	stop()
 	if err != nil {
 		return nil, e.fail(err)
 	}
 	now := e.transport.Timer.Now()
-	e.host.answered(now, now.Sub(started))
+	e.host.answered(now, now.Sub(e.started))
 	response, err := e.receive(raw)
 	if response == nil || response.Stream == nil {
 		_ = raw.Body.Close()
@@ -125,7 +122,8 @@
 	case errors.Is(cause, syscall.ETIMEDOUT):
 		return e.dead(try, cause)
 	case ended != nil:
-		return &DeadlineError{Try: try, Cause: ended}
+		silent := try.Written && e.link.conn.heard.Load() == 0 && e.transport.Timer.Since(e.started) >= e.patience
+		return &DeadlineError{Try: try, Silent: silent, Cause: ended}
 	}
 	return &BrokenError{Try: try, Cause: cause}
 }
--- a/target/watch.go
+++ b/target/watch.go
@@ -3,34 +3,35 @@
 import (
 	"context"
 	"sync/atomic"
-	"time"
 )
 
 // watch observes the wait for the first byte of a response. Silence alone does not prove that the
 // connection is dead, because service times vary, so it acts in two steps. After Limits.Suspect the
 // older idle connections are closed, which is harmless if the guess is wrong, and a new connection is
 // opened as a probe. After Limits.Silence a request on a reused connection is given up, if a newer
-// connection to the target was established meanwhile or the share is used up. The returned function ends the watch.
-func (e *exchange) watch(started time.Time) func() {
+// connection to the target was established meanwhile or the share is used up. The returned function
+// ends the watch.
+func (e *exchange) watch() func() {
 	t := e.transport
 	limits := t.limits()
+	slowest := e.host.slowestRecent()
+	e.patience = max(limits.Silence, slowFactor*slowest)
 	if limits.Suspect < 0 {
 		return func() {}
 	}
 	var over atomic.Bool
-	slowest := e.host.slowestRecent()
 	suspect := max(limits.Suspect, slowest)
 	cancelSuspect := t.Timer.AfterFunc(suspect, e.suspect)
 	if e.link.fresh() {
 		return func() { cancelSuspect() }
 	}
-	silence := max(limits.Silence, slowFactor*slowest)
+	silence := e.patience
 	if !e.request.Idempotent {
 		silence *= patienceFactor
 	}
 	cancelSilence := t.Timer.AfterFunc(silence, func() {
 		// The response headers may arrive at this moment; the first to claim the end decides.
-		if e.replaceable(started) && over.CompareAndSwap(false, true) {
+		if e.replaceable() && over.CompareAndSwap(false, true) {
 			e.cancel(&SilenceError{Milliseconds: silence.Milliseconds()})
 		}
 	})
@@ -41,24 +42,26 @@
 	}
 }
 
-// suspect runs in its own goroutine.
+// suspect runs in its own goroutine, possibly after the end of the request.
 func (e *exchange) suspect() {
 	t := e.transport
 	if e.link.conn.heard.Load() > 0 || e.ctx.Err() != nil {
 		return
 	}
-	t.Events.Info(eventSuspect, "target", e.request.Target, "address", e.host.address, "request", e.request.ID)
-	e.host.sweep(t.Timer.Now())
-	t.probe(e.ctx, e.host, e.request.Connections)
+	h := t.enter(e.host.address)
+	defer t.leave(h)
+	t.Events.Info(eventSuspect, "target", e.request.Target, "address", h.address, "request", e.request.ID)
+	h.sweep(t.Timer.Now())
+	t.probe(e.ctx, h, e.request.Connections)
 }
 
 // replaceable reports whether a newer connection shows that the target can be reached, or the share
 // leaves no room to find out.
-func (e *exchange) replaceable(started time.Time) bool {
+func (e *exchange) replaceable() bool {
 	h := e.host
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.newest.After(started) || h.open >= max(e.request.Connections, 1)
+	return h.newest.After(e.started) || h.open >= max(e.request.Connections, 1)
 }
 
 // probe opens a connection within the share and leaves it idle for the next request. It does nothing
@@ -69,11 +72,9 @@
 	if !h.reserve(max(share, 1)) {
 		return
 	}
-	// The host is in use as long as h.open counts the place taken by reserve.
 	l, err := t.dial(ctx, h.address)
 	if err != nil {
 		h.drop()
-		t.forget(h)
 		return
 	}
 	h.established(l)
