request: filter chain of a caller's request

Requests pass accept, identify, admit, claim, queue, route, send and answer, each a go-kit endpoint middleware. The claim stands before the queue: a claim takes the latency of the log, during which a slot held already would do no work; the price is an outcome record for each claim that the queue refuses.

A retry loop around queue, route and send was chosen over one around send alone, so that each try takes its own slot and avoids earlier targets. An error after a try that may have run is never reported as notrun.

--- /dev/null
+++ b/request/identify.go
@@ -0,0 +1,151 @@
+package request
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-kit/kit/endpoint"
+
+	"hibiscuslane.example/hibiscuslane/config"
+	"hibiscuslane.example/hibiscuslane/team"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+// Headers of requests.
+const (
+	HeaderTeam    = "Hibiscuslane-Team"
+	HeaderTimeout = "Hibiscuslane-Timeout"
+	HeaderKey     = "Idempotency-Key"
+)
+
+const (
+	// MaxTimeout bounds the deadline of a request. It is a sixth of claim.Retention, so that the claim
+	// of a request never expires while its holder may still send.
+	MaxTimeout = 10 * time.Minute
+	maxKey     = 255
+)
+
+// identify sets the team, key, pool and deadline of a request, and bounds ctx by the deadline.
+func identify(source Source, service *timer.Service) endpoint.Middleware {
+	return func(next endpoint.Endpoint) endpoint.Endpoint {
+		return func(ctx context.Context, message any) (any, error) {
+			r := message.(*Request)
+			settings := source()
+			if settings == nil {
+				return nil, &UnreadyError{}
+			}
+			timeout, err := r.identify(settings)
+			if err != nil {
+				return nil, err
+			}
+			r.Deadline = service.Now().Add(timeout)
+			ctx, cancel := service.WithTimeout(ctx, timeout)
+			return finish(ctx, cancel, r, next)
+		}
+	}
+}
+
+// finish calls next and then cancel, which ends ctx. If the response is streamed, cancel waits for its end.
+func finish(ctx context.Context, cancel context.CancelFunc, r *Request, next endpoint.Endpoint) (any, error) {
+	kept := false
+	defer func() {
+		if !kept {
+			cancel()
+		}
+	}()
+	message, err := next(ctx, r)
+	if response, ok := message.(*Response); ok && response.Stream != nil {
+		response.Stream = &streamEnd{ReadCloser: response.Stream, end: func(error) { cancel() }}
+		kept = true
+	}
+	return message, err
+}
+
+func (r *Request) identify(settings *config.Settings) (time.Duration, error) {
+	r.Team = team.Name(r.Header.Get(HeaderTeam))
+	if _, ok := settings.Teams[r.Team]; !ok {
+		return 0, &InputError{Field: "header " + HeaderTeam, Reason: "must name a team"}
+	}
+	var err error
+	if r.Key, err = keyOf(r.Header); err != nil {
+		return 0, err
+	}
+	route, ok := match(settings.Routes, r.Path)
+	if !ok {
+		return 0, &RouteError{Path: r.Path}
+	}
+	r.Pool = route.Pool
+	r.Idempotent = isIdempotent(route, r.Method)
+	return timeoutOf(r.Header, settings.Pools[route.Pool].Deadline())
+}
+
+func keyOf(header http.Header) (string, error) {
+	values := header.Values(HeaderKey)
+	if len(values) == 0 {
+		return "", nil
+	}
+	key := values[0]
+	if len(values) > 1 || key == "" || len(key) > maxKey || !isPrintable(key) {
+		return "", &InputError{Field: "header " + HeaderKey, Reason: "must be one value of 1 to 255 printable ASCII characters"}
+	}
+	return key, nil
+}
+
+func isPrintable(s string) bool {
+	for i := range len(s) {
+		if s[i] < 0x20 || s[i] > 0x7e {
+			return false
+		}
+	}
+	return true
+}
+
+func timeoutOf(header http.Header, standard time.Duration) (time.Duration, error) {
+	value := header.Get(HeaderTimeout)
+	if value == "" {
+		if standard <= 0 || standard > MaxTimeout {
+			return MaxTimeout, nil
+		}
+		return standard, nil
+	}
+	ms, err := strconv.ParseInt(value, 10, 64)
+	if err != nil || ms <= 0 || ms > MaxTimeout.Milliseconds() {
+		return 0, &InputError{Field: "header " + HeaderTimeout, Reason: "must be a whole number of milliseconds from 1 to 600000"}
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// match returns the route with the longest prefix of the path. A prefix ends at a segment, so that
+// /a does not match /ab.
+func match(routes []config.Route, path string) (config.Route, bool) {
+	best := -1
+	for i, route := range routes {
+		if hasSegmentPrefix(path, route.Prefix) && (best < 0 || len(route.Prefix) > len(routes[best].Prefix)) {
+			best = i
+		}
+	}
+	if best < 0 {
+		return config.Route{}, false
+	}
+	return routes[best], true
+}
+
+func hasSegmentPrefix(path, prefix string) bool {
+	rest, ok := strings.CutPrefix(path, prefix)
+	if !ok {
+		return false
+	}
+	return rest == "" || strings.HasSuffix(prefix, "/") || strings.HasPrefix(rest, "/")
+}
+
+func isIdempotent(route config.Route, method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions:
+		return true
+	}
+	return slices.Contains(route.Idempotent, method)
+}
--- /dev/null
+++ b/request/request.go
@@ -0,0 +1,100 @@
+package request
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/config"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/slot"
+	"hibiscuslane.example/hibiscuslane/team"
+)
+
+// ID identifies a request in answers, logs and calls to targets.
+type ID string
+
+// Request is a request of a caller.
+type Request struct {
+	ID     ID
+	Method string
+	// Path is the decoded path; routes match it.
+	Path string
+	// URI is the path and query as the caller sent them.
+	URI    string
+	Header http.Header
+	Body   []byte
+
+	// The identify filter sets the fields below.
+
+	Team team.Name
+	// Key is the idempotency key; empty if the caller sent none.
+	Key  string
+	Pool pool.Name
+	// Idempotent requests may be executed more than once.
+	Idempotent bool
+	Deadline   time.Time
+
+	// avoid lists the targets of earlier tries.
+	avoid []instance.ID
+	// sent is set before a try that has not provably ended as notrun.
+	sent bool
+}
+
+// Target is an instance at the address and incarnation to which a try is sent.
+type Target struct {
+	ID          instance.ID
+	Address     instance.Address
+	Incarnation instance.Incarnation
+}
+
+// Try is one attempt to have a target execute a request.
+type Try struct {
+	Request *Request
+	Grant   slot.Grant
+	Target  Target
+}
+
+// Response is what a caller receives.
+type Response struct {
+	Status int
+	Header http.Header
+	// Body is the whole body, or its first part if Stream is set.
+	Body []byte
+	// Stream is the rest of a body that is too large to buffer; nil if Body is complete.
+	Stream io.ReadCloser
+}
+
+// Reply is the response of a target whose body has not been read.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   io.ReadCloser
+	// Length is the length of the body in bytes, or -1 if it is not known.
+	Length int64
+}
+
+// Sender sends a try to its target. An error carries the outcome of the try: notrun only if no byte
+// was written or the target refused the request before it started.
+type Sender interface {
+	Send(ctx context.Context, try *Try) (*Reply, error)
+}
+
+// Router knows the targets.
+type Router interface {
+	// Route returns the target of a grant, or an error if it takes no work now.
+	Route(ctx context.Context, grant slot.Grant) (Target, error)
+	// Report tells how a try ended; err is nil if the target answered.
+	Report(target Target, err error)
+}
+
+// Retrier decides whether a try is followed by another one.
+type Retrier interface {
+	// Retry returns the delay before the next try. Tries counts those made so far.
+	Retry(request *Request, tries int, cause error) (delay time.Duration, ok bool)
+}
+
+// Source returns the configuration in force, or nil before one is known. The result is not modified.
+type Source func() *config.Settings
