--- /dev/null
+++ b/request/chain_test.go
@@ -0,0 +1,225 @@
+package request_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/request"
+	"hibiscuslane.example/hibiscuslane/slot"
+)
+
+func call(method, path, body string, header ...string) *http.Request {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	r.Header.Set(request.HeaderTeam, "red")
+	for i := 0; i < len(header); i += 2 {
+		r.Header.Set(header[i], header[i+1])
+	}
+	return r
+}
+
+// TestRefusals guards against executing a request that is malformed, too large or not a request.
+func TestRefusals(t *testing.T) {
+	tests := map[string]struct {
+		request *http.Request
+		status  int
+		reason  string
+	}{
+		"no team":       {call("POST", "/b", "", request.HeaderTeam, "blue"), 400, request.HeaderTeam},
+		"timeout":       {call("POST", "/b", "", request.HeaderTimeout, "600001"), 400, request.HeaderTimeout},
+		"negative":      {call("POST", "/b", "", request.HeaderTimeout, "-1"), 400, request.HeaderTimeout},
+		"empty key":     {call("POST", "/b", "", request.HeaderKey, ""), 400, request.HeaderKey},
+		"long key":      {call("POST", "/b", "", request.HeaderKey, strings.Repeat("k", 256)), 400, request.HeaderKey},
+		"large body":    {call("POST", "/b", strings.Repeat("x", request.MaxBody+1)), 400, "1 MiB"},
+		"reserved":      {call("POST", "/-/jobs", ""), 404, "/-/jobs"},
+		"dot segments":  {call("POST", "/b/../a", ""), 400, "segments"},
+		"trace":         {call("TRACE", "/b", ""), 400, "TRACE"},
+		"chunked large": {chunked(call("POST", "/b", strings.Repeat("x", request.MaxBody+1))), 400, "1 MiB"},
+	}
+	run(t, func(f *fixture) {
+		for name, test := range tests {
+			got := f.first.serve(test.request)
+			assert.Equal(f, test.status, got.status, name)
+			assert.Equal(f, failure.OutcomeNotRun, got.outcome, name)
+			assert.Contains(f, got.body, test.reason, name)
+		}
+		assert.Empty(f, f.target.results())
+	})
+}
+
+func chunked(r *http.Request) *http.Request {
+	r.ContentLength = -1
+	return r
+}
+
+// TestRate guards against a team that takes more than its rate, and against a limit that never ends.
+func TestRate(t *testing.T) {
+	run(t, func(f *fixture) {
+		slow := func() outcome { return f.first.serve(call("POST", "/b", "", request.HeaderTeam, "slow")) }
+		assert.Equal(f, http.StatusCreated, slow().status)
+		assert.Equal(f, http.StatusTooManyRequests, slow().status)
+		wait(f, time.Second)
+		assert.Equal(f, http.StatusCreated, slow().status)
+	})
+}
+
+// TestRetries guards against repeating what may have run, and against reporting notrun after a try
+// that may have run.
+func TestRetries(t *testing.T) {
+	refused := &platform.RefusedError{Refusal: platform.RefusedDraining}
+	broken := &request.BrokenError{Cause: io.ErrUnexpectedEOF}
+	tests := map[string]struct {
+		method, path string
+		errs         []error
+		sends        int
+		outcome      failure.Outcome
+	}{
+		"post refused":            {"POST", "/b", []error{refused, nil}, 2, failure.OutcomeAnswered},
+		"post broken":             {"POST", "/b", []error{broken, nil}, 1, failure.OutcomeUnknown},
+		"post uncoded":            {"POST", "/b", []error{io.EOF, nil}, 1, failure.OutcomeUnknown},
+		"get broken":              {"GET", "/b", []error{broken, nil}, 2, failure.OutcomeAnswered},
+		"put of idempotent route": {"PUT", "/a/x", []error{broken, nil}, 2, failure.OutcomeAnswered},
+		"put of other route":      {"PUT", "/ab", []error{broken, nil}, 1, failure.OutcomeUnknown},
+		"get broken then refused": {"GET", "/b", []error{broken, refused}, 2, failure.OutcomeUnknown},
+		"get refused twice":       {"GET", "/b", []error{refused, refused}, 2, failure.OutcomeNotRun},
+	}
+	run(t, func(f *fixture) {
+		for name, test := range tests {
+			sends := 0
+			f.target.send = func(context.Context, *request.Try) (*request.Reply, error) {
+				sends++
+				return reply("ok"), test.errs[sends-1]
+			}
+			got := f.first.serve(call(test.method, test.path, ""))
+			assert.Equal(f, test.outcome, got.outcome, name)
+			assert.Equal(f, test.sends, sends, name)
+		}
+	})
+}
+
+// breaking is a body that fails after its text.
+type breaking struct {
+	io.Reader
+	err error
+}
+
+func (b *breaking) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		err = b.err
+	}
+	return n, err
+}
+
+func (b *breaking) Close() error { return nil }
+
+// TestBrokenResponse guards against presenting a part of a response as the whole, at sizes that are
+// buffered and streamed, and against a slot that is released twice, never or as free.
+func TestBrokenResponse(t *testing.T) {
+	tests := map[string]struct {
+		size    int
+		err     error
+		aborted bool
+		result  slot.Result
+		outcome failure.Outcome
+	}{
+		"buffered":        {request.MaxBuffer, io.EOF, false, slot.ResultDone, failure.OutcomeAnswered},
+		"buffered broken": {100, io.ErrUnexpectedEOF, false, slot.ResultUnknown, failure.OutcomeUnknown},
+		"streamed":        {2 * request.MaxBuffer, io.EOF, false, slot.ResultDone, failure.OutcomeAnswered},
+		"streamed broken": {2 * request.MaxBuffer, io.ErrUnexpectedEOF, true, slot.ResultUnknown, failure.OutcomeAnswered},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(f *fixture) {
+				f.target.send = func(context.Context, *request.Try) (*request.Reply, error) {
+					body := &breaking{strings.NewReader(strings.Repeat("x", test.size)), test.err}
+					return &request.Reply{Status: 200, Header: http.Header{}, Body: body, Length: -1}, nil
+				}
+				w := httptest.NewRecorder()
+				serve := func() { f.first.handler.ServeHTTP(w, call("POST", "/b", "", request.HeaderKey, "k")) }
+				if test.aborted {
+					assert.PanicsWithValue(f, http.ErrAbortHandler, serve)
+				} else {
+					serve()
+				}
+				assert.Equal(f, string(test.outcome), w.Header().Get(failure.HeaderOutcome))
+				if test.outcome == failure.OutcomeAnswered {
+					assert.Equal(f, test.size, w.Body.Len())
+				}
+				assert.Equal(f, map[slot.Result]int{test.result: 1}, f.target.results())
+				assert.Zero(f, f.first.handler.InFlight())
+			})
+		})
+	}
+}
+
+// TestPanic guards against a slot or a claim that a panic leaves behind.
+func TestPanic(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.target.send = func(context.Context, *request.Try) (*request.Reply, error) { panic("bug") }
+		assert.Panics(f, func() { f.first.post(f.Context(), "k", "k", normal) })
+		assert.Equal(f, map[slot.Result]int{slot.ResultUnknown: 1}, f.target.results())
+		assert.Equal(f, failure.OutcomeUnknown, f.second.post(f.Context(), "k", "k", normal).outcome)
+		assert.Zero(f, f.first.handler.InFlight())
+	})
+}
+
+// TestHeaders guards against forwarding the headers of one connection and against forged headers of
+// the target protocol.
+func TestHeaders(t *testing.T) {
+	run(t, func(f *fixture) {
+		var sent http.Header
+		f.target.send = func(_ context.Context, try *request.Try) (*request.Reply, error) {
+			sent = request.ForwardedHeader(try.Request)
+			return reply("ok"), nil
+		}
+		w := httptest.NewRecorder()
+		r := call("POST", "/b", "", platform.HeaderIncarnation, "9", "Te", "trailers", "X-Kept", "1", "X-Hop", "1", "Connection", "close, x-hop")
+		f.first.handler.ServeHTTP(w, r)
+		assert.Equal(f, http.Header{request.HeaderTeam: {"red"}, "X-Kept": {"1"}}, sent)
+		assert.Empty(f, w.Header().Get("X-Hop"))
+		assert.NotEmpty(f, w.Header().Get(failure.HeaderRequest))
+	})
+}
+
+// TestShutdown guards against a shutdown that cuts off a request or its outcome, or takes new ones.
+func TestShutdown(t *testing.T) {
+	run(t, func(f *fixture) {
+		finish := make(chan struct{})
+		f.target.send = func(context.Context, *request.Try) (*request.Reply, error) {
+			<-finish
+			f.log.set(true, 0)
+			return reply("ok"), nil
+		}
+		done := f.background(f.Context(), f.first, normal)
+		wait(f, 100*time.Millisecond)
+		f.first.handler.Stop()
+		got := f.first.post(f.Context(), "", "late", normal)
+		assert.Equal(f, http.StatusServiceUnavailable, got.status)
+		assert.Contains(f, got.body, failure.CodeStopping)
+		bounded, cancel := context.WithTimeout(f.Context(), time.Second)
+		defer cancel()
+		var cut *request.CutError
+		require.ErrorAs(f, f.first.handler.Wait(bounded), &cut)
+		assert.Equal(f, 1, cut.Left)
+		close(finish)
+		require.NoError(f, f.first.handler.Wait(f.Context()))
+		assert.Equal(f, "ok", (<-done).body)
+		require.Error(f, f.first.claimer.Drain(bounded), "the outcome is not in the log")
+		f.log.set(false, 0)
+		require.NoError(f, f.first.claimer.Drain(f.Context()))
+		synctest.Wait()
+		assert.Equal(f, "ok", f.second.post(f.Context(), "k", "k", normal).body)
+	})
+}
--- /dev/null
+++ b/request/fixture_test.go
@@ -0,0 +1,226 @@
+package request_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/claim"
+	"hibiscuslane.example/hibiscuslane/config"
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/request"
+	"hibiscuslane.example/hibiscuslane/slot"
+	"hibiscuslane.example/hibiscuslane/stream"
+	"hibiscuslane.example/hibiscuslane/team"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+// memoryLog is a log in memory that can be down or lose the answer to an append after its effect.
+type memoryLog struct {
+	mu      sync.Mutex
+	records []json.RawMessage
+	changed chan struct{}
+	down    bool
+	lose    int
+}
+
+func (l *memoryLog) set(down bool, lose int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down, l.lose = down, lose
+}
+
+func (l *memoryLog) Append(_ context.Context, _ record.Stream, records []json.RawMessage) (record.Offset, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return 0, &platform.RefusedError{Call: "append", Refusal: platform.RefusedDown}
+	}
+	first := record.Offset(len(l.records))
+	l.records = append(l.records, records...)
+	if l.changed != nil {
+		close(l.changed)
+		l.changed = nil
+	}
+	if l.lose > 0 {
+		l.lose--
+		return 0, &platform.CallError{Call: "append", Cause: io.ErrUnexpectedEOF}
+	}
+	return first, nil
+}
+
+func (l *memoryLog) Read(ctx context.Context, _ record.Stream, from record.Offset, _ int, wait time.Duration) (platform.Batch, error) {
+	var service timer.Service
+	expired := service.After(wait)
+	for {
+		batch, changed := l.batch(from)
+		if len(batch.Records) > 0 {
+			return batch, nil
+		}
+		select {
+		case <-ctx.Done():
+			return platform.Batch{}, ctx.Err()
+		case <-expired:
+			return batch, nil
+		case <-changed:
+		}
+	}
+}
+
+func (l *memoryLog) batch(from record.Offset) (platform.Batch, chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	batch := platform.Batch{Next: record.Offset(len(l.records))}
+	for i := from; i < batch.Next; i++ {
+		batch.Records = append(batch.Records, platform.Stored{Offset: i, Body: l.records[i]})
+	}
+	if l.changed == nil {
+		l.changed = make(chan struct{})
+	}
+	return batch, l.changed
+}
+
+// target stands for the sender, the router, the queue and the targets behind them. It counts the
+// executions of each body.
+type target struct {
+	mu       sync.Mutex
+	executed map[string]int
+	released map[slot.Result]int
+	// send, if set, replaces the immediate answer; it calls execute for each execution.
+	send func(ctx context.Context, try *request.Try) (*request.Reply, error)
+	// acquire, if set, runs before a slot is granted.
+	acquire func(ctx context.Context) error
+}
+
+func (t *target) execute(body []byte) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.executed == nil {
+		t.executed = map[string]int{}
+	}
+	t.executed[string(body)]++
+}
+
+func (t *target) executions(body string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.executed[body]
+}
+
+func (t *target) Send(ctx context.Context, try *request.Try) (*request.Reply, error) {
+	if t.send != nil {
+		return t.send(ctx, try)
+	}
+	t.execute(try.Request.Body)
+	return reply("done " + string(try.Request.Body)), nil
+}
+
+func reply(body string) *request.Reply {
+	header := http.Header{"Content-Type": {"text/plain"}, "Connection": {"X-Hop"}, "X-Hop": {"1"}}
+	return &request.Reply{Status: http.StatusCreated, Header: header, Body: io.NopCloser(strings.NewReader(body)), Length: int64(len(body))}
+}
+
+func (t *target) Route(_ context.Context, grant slot.Grant) (request.Target, error) {
+	return request.Target{ID: grant.Target}, nil
+}
+
+func (t *target) Report(request.Target, error) {}
+
+func (t *target) Acquire(ctx context.Context, ticket slot.Ticket) (slot.Grant, error) {
+	if t.acquire != nil {
+		if err := t.acquire(ctx); err != nil {
+			return slot.Grant{}, err
+		}
+	}
+	return slot.Grant{Pool: ticket.Pool, Target: instance.ID(fmt.Sprint("target-", len(ticket.Avoid)))}, nil
+}
+
+func (t *target) Release(_ slot.Grant, result slot.Result) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.released == nil {
+		t.released = map[slot.Result]int{}
+	}
+	t.released[result]++
+}
+
+func (t *target) results() map[slot.Result]int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.released
+}
+
+// twice is a Retrier that allows a second try.
+type twice struct{}
+
+func (twice) Retry(_ *request.Request, tries int, _ error) (time.Duration, bool) {
+	return time.Millisecond, tries < 2
+}
+
+// entry is one entry instance.
+type entry struct {
+	claimer *claim.Claimer
+	handler *request.Handler
+	// kill ends the entry without any shutdown.
+	kill func()
+}
+
+func newEntry(log platform.Log, t *target, number int, service *timer.Service) *entry {
+	ctx, cancel := context.WithCancel(context.Background())
+	writer := record.Writer{Entry: instance.ID(fmt.Sprint("entry-", number)), Incarnation: 1}
+	state := &claim.State{}
+	follower := &stream.Follower{Log: log, Stream: record.StreamClaim, Folder: state}
+	appender := &stream.Appender{Log: log, Stream: record.StreamClaim, Writer: writer}
+	claimer := &claim.Claimer{State: state, Appender: appender, Follower: follower, Self: writer}
+	var group sync.WaitGroup
+	group.Go(func() { _ = follower.Run(ctx) })
+	group.Go(func() { _ = appender.Run(ctx) })
+	group.Go(func() { _ = claimer.Run(ctx) })
+	settings := &config.Settings{
+		Pools:  map[pool.Name]pool.Spec{"desk": {Timeout: 20_000}},
+		Teams:  map[team.Name]team.Spec{"red": {}, "slow": {Rate: 1}},
+		Routes: []config.Route{{Prefix: "/", Pool: "desk"}, {Prefix: "/a", Pool: "desk", Idempotent: []string{http.MethodPut}}},
+	}
+	handler := request.New(request.Parts{
+		Settings: func() *config.Settings { return settings }, Ready: func() bool { return true },
+		Claimer: claimer, Allocator: t, Router: t, Sender: t, Retrier: twice{}, Timer: service,
+	})
+	return &entry{claimer: claimer, handler: handler, kill: func() {
+		cancel()
+		group.Wait()
+	}}
+}
+
+// outcome is what a caller sees.
+type outcome struct {
+	status  int
+	outcome failure.Outcome
+	body    string
+}
+
+// post sends a request with an idempotency key, whose body is the key unless given.
+func (e *entry) post(ctx context.Context, key, body string, timeout time.Duration) outcome {
+	r := httptest.NewRequestWithContext(ctx, http.MethodPost, "/b", strings.NewReader(body))
+	r.Header.Set(request.HeaderTeam, "red")
+	r.Header.Set(request.HeaderTimeout, fmt.Sprint(timeout.Milliseconds()))
+	if key != "" {
+		r.Header.Set(request.HeaderKey, key)
+	}
+	return e.serve(r)
+}
+
+func (e *entry) serve(r *http.Request) outcome {
+	w := httptest.NewRecorder()
+	e.handler.ServeHTTP(w, r)
+	return outcome{w.Code, failure.Outcome(w.Header().Get(failure.HeaderOutcome)), w.Body.String()}
+}
