--- a/request/atmostonce_test.go
+++ b/request/atmostonce_test.go
@@ -259,3 +259,17 @@
 func now() time.Time { return (&timer.Service{}).Now() }
 
 func wait(f *fixture, d time.Duration) { _ = (&timer.Service{}).Sleep(f.Context(), d) }
+
+// TestFull guards against executing without a claim, or dropping one, when the state is full.
+func TestFull(t *testing.T) {
+	run(t, func(f *fixture) {
+		for _, e := range []*entry{f.first, f.second} {
+			e.claimer.State.Limits = claim.Limits{Claims: 1}
+		}
+		assert.Equal(f, failure.OutcomeAnswered, f.first.post(f.Context(), "k", "k", normal).outcome)
+		got := f.second.post(f.Context(), "l", "l", normal)
+		assert.Equal(f, http.StatusTooManyRequests, got.status)
+		assert.Equal(f, failure.OutcomeNotRun, got.outcome)
+		assert.Zero(f, f.target.executions("l"))
+	})
+}
