config, settings: state of published files, check report and process settings

The config stream needs its fold before other packages can use the settings of a site, and operators need every fault of their files at once.

Files are decoded by the new package document, which config and settings share. It rejects repeated keys and numbers with an exponent, which encoding/json takes silently, and brings numbers to their shortest form, so that equal files have equal digests.

A fold builds a new view beside the present one, so readers never wait. Pools that neither file changes are taken over from the previous merge. Merging every site in full on each publish was ruled out by its cost.

--- /dev/null
+++ b/audit/entry.go
@@ -0,0 +1,61 @@
+// Package audit defines the audit trail: who changed what, from which version, and what the fold did
+// with it. The states collect their own trails; this package merges and writes them.
+package audit
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/stream"
+)
+
+// Entry is one record in the trail.
+type Entry struct {
+	Offset record.Offset `json:"offset"`
+	Stream record.Stream `json:"stream"`
+	ID     record.ID     `json:"id"`
+	Kind   record.Kind   `json:"kind"`
+	// Time is the clock of the writer in UTC. It orders entries of different streams for readers and
+	// decides nothing.
+	Time    time.Time     `json:"time"`
+	Author  record.Author `json:"author,omitempty"`
+	Objects []Object      `json:"objects,omitempty"`
+	// Decision is the reason that the author gave.
+	Decision string        `json:"decision,omitempty"`
+	Verdict  stream.Result `json:"verdict"`
+	// Cause says why the record was not applied; it is empty for applied records.
+	Cause string `json:"cause,omitempty"`
+}
+
+// Object is one thing that a record changes.
+type Object struct {
+	Name string `json:"name"`
+	// From is the version that the change is based on; -1 means that the object was new.
+	From int64 `json:"from"`
+	// Digest is a hash of the new content in hexadecimal; it is empty when the object is removed.
+	Digest  string   `json:"digest,omitempty"`
+	Changes []Change `json:"changes,omitempty"`
+	// More is the number of changes that are left out of Changes.
+	More int `json:"more,omitempty"`
+}
+
+// Change is one changed value.
+type Change struct {
+	// Pointer is the JSON pointer of the value.
+	Pointer string `json:"pointer"`
+	// Old and New are absent where the value did not exist or does not any more.
+	Old json.RawMessage `json:"old,omitempty"`
+	New json.RawMessage `json:"new,omitempty"`
+}
+
+func (c Change) String() string {
+	switch {
+	case c.Old == nil:
+		return fmt.Sprintf("%s added %s", c.Pointer, c.New)
+	case c.New == nil:
+		return fmt.Sprintf("%s removed %s", c.Pointer, c.Old)
+	}
+	return fmt.Sprintf("%s %s -> %s", c.Pointer, c.Old, c.New)
+}
--- /dev/null
+++ b/config/check_test.go
@@ -0,0 +1,163 @@
+package config_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hibiscuslane.example/hibiscuslane/config"
+)
+
+// TestExamples guards against example files that do not pass the check.
+func TestExamples(t *testing.T) {
+	for _, name := range []string{"small", "association", "authority"} {
+		require.NoError(t, config.Check(example(t, name)), name)
+	}
+}
+
+// TestCheckReport guards against faults that are reported one at a time, or under the wrong file or
+// pointer.
+func TestCheckReport(t *testing.T) {
+	files := []config.Content{
+		{Name: config.Base, Data: read(t, "testdata/faulty/base.json")},
+		{Name: "site/east", Data: read(t, "testdata/faulty/site/east.json")},
+		{Name: "site/west", Data: read(t, "testdata/faulty/site/west.json")},
+		{Name: "site/syntax", Data: []byte(`{"region":"north",`)},
+		{Name: "site/repeat", Data: []byte(`{"region":"a","region":"b","pools":{"web":{"slots":1e9}}}`)},
+	}
+	err := config.Check(files)
+	require.True(t, config.IsCheckError(err))
+	goldie.New(t).Assert(t, "faulty", []byte(err.Error()+"\n"))
+}
+
+// TestMissingBase guards against overlays that are accepted without a base file.
+func TestMissingBase(t *testing.T) {
+	require.ErrorContains(t, config.Check([]config.Content{{Name: "site/alpha", Data: []byte(`{}`)}}), "base#: is missing")
+}
+
+// TestMergePatch guards against differences between the library and RFC 7386. Arrays of objects are
+// left out, because the library drops nulls inside them; the schema allows no null there.
+func TestMergePatch(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		target, patch := object(r, 3), object(r, 3)
+		got, err := jsonpatch.MergePatch(encode(target), encode(patch))
+		require.NoError(r, err)
+		require.JSONEq(r, string(encode(mergePatch(target, patch))), string(got))
+	})
+}
+
+func object(r *rapid.T, depth int) map[string]any {
+	tree := map[string]any{}
+	for range rapid.IntRange(0, 3).Draw(r, "keys") {
+		key := rapid.SampledFrom([]string{"a", "b", "", "~/"}).Draw(r, "key")
+		switch rapid.IntRange(0, 4).Draw(r, "kind") {
+		case 0:
+			tree[key] = nil
+		case 1:
+			tree[key] = "text"
+		case 2:
+			tree[key] = []any{1, "x"}
+		case 3:
+			tree[key] = json.Number("1")
+		default:
+			if depth > 0 {
+				tree[key] = object(r, depth-1)
+			}
+		}
+	}
+	return tree
+}
+
+// mergePatch is the function of RFC 7386, section 2.
+func mergePatch(target, patch any) any {
+	changes, ok := patch.(map[string]any)
+	if !ok {
+		return patch
+	}
+	old, _ := target.(map[string]any)
+	merged := map[string]any{}
+	for key, value := range old {
+		merged[key] = value
+	}
+	for key, value := range changes {
+		if value == nil {
+			delete(merged, key)
+			continue
+		}
+		merged[key] = mergePatch(merged[key], value)
+	}
+	return merged
+}
+
+// TestDiff guards against dry runs that leave out a change.
+func TestDiff(t *testing.T) {
+	l := small(t)
+	base, _ := l.File(config.Base)
+	var content map[string]any
+	require.NoError(t, json.Unmarshal(base.Content, &content))
+	content["weights"].(map[string]any)["moves"] = 9
+	difference, err := l.Preview(config.Publish{Files: []config.FileChange{
+		{Name: config.Base, Based: 0, Content: encode(content)},
+		set("site/alpha", 0, overlay(4)),
+		set("site/gamma", 0, "null"),
+		set("site/delta", -1, overlay(1)),
+	}})
+	require.NoError(t, err)
+	goldie.New(t).Assert(t, "diff", []byte(difference.Text()+string(encode(difference))+"\n"))
+	require.Len(t, l.Sites(), 3, "a preview changes nothing")
+}
+
+func FuzzCheck(f *testing.F) {
+	f.Add([]byte(`{}`), []byte(overlay(3)))
+	f.Add([]byte(`{"pools":{"web":{"size":{"targets":1e999999999}}}}`), []byte(`{"pools":null}`))
+	f.Add([]byte(`{"routes":[{"prefix":"/","pool":null}]}`), []byte(`{"routes":[null]}`))
+	f.Add([]byte(`[]`), []byte(`null`))
+	f.Fuzz(func(t *testing.T, base, overlay []byte) {
+		files := []config.Content{{Name: config.Base, Data: base}, {Name: "site/alpha", Data: overlay}}
+		merged, err := config.Merge(files)
+		if err != nil {
+			require.True(t, config.IsCheckError(err))
+			again := config.Check(files)
+			require.Equal(t, err.Error(), again.Error())
+			return
+		}
+		require.NotNil(t, merged["alpha"])
+	})
+}
+
+// BenchmarkFold publishes a change of one pool at the target size.
+func BenchmarkFold(b *testing.B) {
+	files := large()
+	var changes []config.FileChange
+	for _, file := range files {
+		changes = append(changes, config.FileChange{Name: file.Name, Based: config.NoVersion, Content: file.Data})
+	}
+	for _, bench := range []struct {
+		name        string
+		file        config.Content
+		old, format string
+	}{
+		{"base", files[0], `"queue":256`, `"queue":%d`},
+		{"overlay", files[1], `"budget":{"targets":2`, `"budget":{"targets":%d`},
+	} {
+		b.Run(bench.name, func(b *testing.B) {
+			l := &log{}
+			l.publish("ada", changes...)
+			based := l.Version()
+			for i := 0; b.Loop(); i++ {
+				content := bytes.Replace(bench.file.Data, []byte(bench.old), fmt.Appendf(nil, bench.format, i%2), 1)
+				offset, verdict := l.publish("ada", config.FileChange{Name: bench.file.Name, Based: based, Content: content})
+				if verdict.Reason != "" {
+					b.Fatal(verdict.Reason)
+				}
+				based = offset
+			}
+		})
+	}
+}
--- /dev/null
+++ b/config/dir.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/site"
+)
+
+const extension = ".json"
+
+// ReadError reports a file that cannot be read.
+type ReadError struct {
+	Cause error
+}
+
+func (e *ReadError) Error() string { return "file cannot be read: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ReadError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Coded.
+func (e *ReadError) Code() failure.Code { return failure.CodeMissing }
+
+// Outcome implements failure.Coded.
+func (e *ReadError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// ReadFile reads the content of a file from disk.
+func ReadFile(name File, path string) (Content, error) {
+	data, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return Content{}, &ReadError{Cause: err}
+	}
+	return Content{Name: name, Data: data}, nil
+}
+
+// ReadDir reads the files of a directory: DIR/base.json, if it is there, and each DIR/site/NAME.json.
+func ReadDir(dir string) ([]Content, error) {
+	var files []Content
+	base := filepath.Join(dir, string(Base)+extension)
+	if _, err := os.Stat(base); err == nil {
+		file, err := ReadFile(Base, base)
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, file)
+	}
+	paths, err := filepath.Glob(filepath.Join(dir, "site", "*"+extension))
+	if err != nil {
+		return nil, &ReadError{Cause: err}
+	}
+	slices.Sort(paths)
+	for _, path := range paths {
+		name := strings.TrimSuffix(filepath.Base(path), extension)
+		file, err := ReadFile(Overlay(site.Name(name)), path)
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, file)
+	}
+	if len(files) == 0 {
+		return nil, &ReadError{Cause: &os.PathError{Op: "read", Path: dir, Err: os.ErrNotExist}}
+	}
+	return files, nil
+}
--- /dev/null
+++ b/config/error.go
@@ -0,0 +1,118 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+
+	"hibiscuslane.example/hibiscuslane/audit"
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/record"
+)
+
+// Fault is one thing that is wrong with a file.
+type Fault struct {
+	File File `json:"file"`
+	// Pointer is the JSON pointer of the value; it is empty for the whole file.
+	Pointer string `json:"pointer"`
+	Reason  string `json:"reason"`
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%s#%s: %s", f.File, f.Pointer, f.Reason)
+}
+
+// CheckError reports every fault of a set of files, ordered by file and pointer.
+type CheckError struct {
+	Faults []Fault
+}
+
+func (e *CheckError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, fault := range e.Faults {
+		lines[i] = fault.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Code implements failure.Coded.
+func (e *CheckError) Code() failure.Code { return failure.CodeInvalid }
+
+// Outcome implements failure.Coded.
+func (e *CheckError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// IsCheckError reports whether err is a CheckError.
+func IsCheckError(err error) bool {
+	var check *CheckError
+	return errors.As(err, &check)
+}
+
+// Conflict tells which version a file has instead of the one that a publish is based on, and who
+// published it.
+type Conflict struct {
+	File    File          `json:"file"`
+	Based   record.Offset `json:"based"`
+	Version record.Offset `json:"version"`
+	Author  record.Author `json:"author,omitempty"`
+	Reason  string        `json:"reason,omitempty"`
+	// Changes is what the other publishes changed in the file, as far as the trail reaches.
+	Changes []audit.Change `json:"changes,omitempty"`
+}
+
+func (c Conflict) String() string {
+	if c.Version < 0 {
+		return fmt.Sprintf("%s is based on version %d and does not exist", c.File, c.Based)
+	}
+	return fmt.Sprintf("%s is based on version %d and has version %d by %q (%s)", c.File, c.Based, c.Version, string(c.Author), c.Reason)
+}
+
+// ConflictError reports a publish that lost a race: a file has another version than the publish is
+// based on.
+type ConflictError struct {
+	Conflicts []Conflict
+}
+
+func (e *ConflictError) Error() string {
+	var lines []string
+	for _, conflict := range e.Conflicts {
+		lines = append(lines, conflict.String())
+		for _, change := range conflict.Changes {
+			lines = append(lines, "  "+change.String())
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+// brief is the text for verdicts, without the changes.
+func (e *ConflictError) brief() string {
+	lines := make([]string, len(e.Conflicts))
+	for i, conflict := range e.Conflicts {
+		lines[i] = conflict.String()
+	}
+	return strings.Join(lines, "; ")
+}
+
+// Code implements failure.Coded.
+func (e *ConflictError) Code() failure.Code { return failure.CodeConflict }
+
+// Outcome implements failure.Coded.
+func (e *ConflictError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// IsConflictError reports whether err is a ConflictError.
+func IsConflictError(err error) bool {
+	var conflict *ConflictError
+	return errors.As(err, &conflict)
+}
+
+// PublishError reports a publish record that is malformed apart from the content of its files.
+type PublishError struct {
+	Reason string
+}
+
+func (e *PublishError) Error() string { return "publish is invalid: " + e.Reason }
+
+// Code implements failure.Coded.
+func (e *PublishError) Code() failure.Code { return failure.CodeInvalid }
+
+// Outcome implements failure.Coded.
+func (e *PublishError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
--- /dev/null
+++ b/config/file.go
@@ -0,0 +1,48 @@
+package config
+
+import (
+	"encoding/json"
+	"regexp"
+	"strings"
+
+	"hibiscuslane.example/hibiscuslane/site"
+)
+
+// File names a published file: the base file or the overlay of a site.
+type File string
+
+// Base is the file that all sites share.
+const Base File = "base"
+
+// overlayPrefix starts the names of overlays.
+const overlayPrefix = "site/"
+
+// namePattern is the form of the names of sites, pools and teams. It has no "." and no "/", which
+// separate names in field paths and JSON pointers.
+const namePattern = `^[a-z0-9][a-z0-9_-]{0,62}$`
+
+var nameExpression = regexp.MustCompile(namePattern)
+
+// Overlay returns the name of the overlay of a site.
+func Overlay(name site.Name) File { return File(overlayPrefix + string(name)) }
+
+// Site returns the site of an overlay; ok is false for other files.
+func (f File) Site() (name site.Name, ok bool) {
+	rest, ok := strings.CutPrefix(string(f), overlayPrefix)
+	if !ok || !nameExpression.MatchString(rest) {
+		return "", false
+	}
+	return site.Name(rest), true
+}
+
+// Valid reports whether f names the base file or an overlay.
+func (f File) Valid() bool {
+	_, overlay := f.Site()
+	return f == Base || overlay
+}
+
+// Content is the content of a file.
+type Content struct {
+	Name File            `json:"name"`
+	Data json.RawMessage `json:"content"`
+}
--- /dev/null
+++ b/config/publish.go
@@ -0,0 +1,131 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"unicode/utf8"
+
+	"hibiscuslane.example/hibiscuslane/record"
+)
+
+// KindPublish is the only kind of record in the config stream.
+const KindPublish record.Kind = "publish"
+
+// NoVersion is the version of a file that does not exist.
+const NoVersion record.Offset = -1
+
+const (
+	// maxTextBytes bounds the reason and the author, which the trail keeps.
+	maxTextBytes = 1024
+	// maxFiles bounds the files of one publish.
+	maxFiles = 256
+)
+
+// Publish is the body of a publish record. The author is in the envelope.
+type Publish struct {
+	Files []FileChange `json:"files"`
+	// Reason says why, for other operators.
+	Reason string `json:"reason"`
+}
+
+// FileChange sets or removes one file.
+type FileChange struct {
+	Name File `json:"name"`
+	// Based is the version of the file that the change was made from; NoVersion for a new file.
+	Based record.Offset `json:"based"`
+	// Content is the whole new file; null removes an overlay.
+	Content json.RawMessage `json:"content"`
+}
+
+// UnmarshalJSON requires every key: a change that lacked its version would be taken as based on offset
+// 0, and one that lacked its content as a removal.
+func (c *FileChange) UnmarshalJSON(data []byte) error {
+	var raw struct {
+		Name    *File           `json:"name"`
+		Based   *record.Offset  `json:"based"`
+		Content json.RawMessage `json:"content"`
+	}
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&raw); err != nil {
+		return err
+	}
+	switch {
+	case raw.Name == nil:
+		return &record.FieldError{Field: "name"}
+	case raw.Based == nil:
+		return &record.FieldError{Field: "based"}
+	case raw.Content == nil:
+		return &record.FieldError{Field: "content"}
+	}
+	*c = FileChange{Name: *raw.Name, Based: *raw.Based, Content: raw.Content}
+	return nil
+}
+
+// Removes reports whether the change removes the file. A nil content is encoded as null.
+func (c FileChange) Removes() bool {
+	return c.Content == nil || string(bytes.TrimSpace(c.Content)) == "null"
+}
+
+// DecodePublish decodes the body of a publish record and checks everything but versions and contents.
+func DecodePublish(envelope record.Envelope) (Publish, error) {
+	if envelope.Kind != KindPublish {
+		return Publish{}, &PublishError{Reason: fmt.Sprintf("unknown kind %q", string(envelope.Kind))}
+	}
+	var p Publish
+	if err := record.Body(envelope, &p); err != nil {
+		return Publish{}, err
+	}
+	if len(envelope.Author) > maxTextBytes {
+		return Publish{}, &PublishError{Reason: fmt.Sprintf("author is longer than %d bytes", maxTextBytes)}
+	}
+	return p, p.Validate()
+}
+
+// Validate checks everything but versions and contents.
+func (p Publish) Validate() error {
+	switch {
+	case len(p.Files) == 0:
+		return &PublishError{Reason: "it names no file"}
+	case len(p.Files) > maxFiles:
+		return &PublishError{Reason: fmt.Sprintf("it names more than %d files", maxFiles)}
+	case len(p.Reason) > maxTextBytes:
+		return &PublishError{Reason: fmt.Sprintf("reason is longer than %d bytes", maxTextBytes)}
+	}
+	seen := map[File]bool{}
+	for _, file := range p.Files {
+		if err := file.validate(); err != nil {
+			return err
+		}
+		if seen[file.Name] {
+			return &PublishError{Reason: fmt.Sprintf("it names file %s twice", file.Name)}
+		}
+		seen[file.Name] = true
+	}
+	return nil
+}
+
+func (c FileChange) validate() error {
+	switch {
+	case !c.Name.Valid():
+		return &PublishError{Reason: fmt.Sprintf("file name %q is neither %q nor site/NAME", string(c.Name), string(Base))}
+	case c.Removes() && c.Name == Base:
+		return &PublishError{Reason: "the base file cannot be removed"}
+	case c.Removes() && c.Based == NoVersion:
+		return &PublishError{Reason: fmt.Sprintf("file %s is removed and does not exist", c.Name)}
+	}
+	return nil
+}
+
+// clip shortens a text to maxTextBytes or less, at a character boundary.
+func clip(text string) string {
+	if len(text) <= maxTextBytes {
+		return text
+	}
+	limit := maxTextBytes
+	for limit > 0 && !utf8.RuneStart(text[limit]) {
+		limit--
+	}
+	return text[:limit]
+}
--- /dev/null
+++ b/config/testing_test.go
@@ -0,0 +1,110 @@
+package config_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/config"
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/stream"
+)
+
+var start = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+func example(t testing.TB, name string) []config.Content {
+	t.Helper()
+	files, err := config.ReadDir(filepath.Join("..", "examples", name, "config"))
+	require.NoError(t, err)
+	return files
+}
+
+// log folds publishes with consecutive offsets.
+type log struct {
+	config.State
+	next record.Offset
+}
+
+func (l *log) publish(author record.Author, changes ...config.FileChange) (record.Offset, stream.Verdict) {
+	body, err := json.Marshal(config.Publish{Files: changes, Reason: fmt.Sprintf("publish %d", l.next)})
+	if err != nil {
+		panic(err)
+	}
+	return l.fold(author, config.KindPublish, body)
+}
+
+func (l *log) fold(author record.Author, kind record.Kind, body []byte) (record.Offset, stream.Verdict) {
+	offset := l.next
+	l.next++
+	return offset, l.Fold(offset, record.Envelope{
+		ID:     record.ID{Writer: record.Writer{Entry: "entry-1", Incarnation: 1}, Sequence: record.Sequence(offset + 1)},
+		Kind:   kind,
+		Author: author,
+		Time:   start.Add(time.Duration(offset) * time.Minute),
+		Body:   body,
+	})
+}
+
+// small returns a log in which the example is in force.
+func small(t testing.TB) *log {
+	t.Helper()
+	l := &log{}
+	var changes []config.FileChange
+	for _, file := range example(t, "small") {
+		changes = append(changes, config.FileChange{Name: file.Name, Based: config.NoVersion, Content: file.Data})
+	}
+	_, verdict := l.publish("ada", changes...)
+	require.Equal(t, stream.Applied, verdict)
+	return l
+}
+
+func set(name config.File, based record.Offset, content string) config.FileChange {
+	return config.FileChange{Name: name, Based: based, Content: json.RawMessage(content)}
+}
+
+// overlay returns an overlay of the small example with a size of pool web.
+func overlay(size int) string {
+	return fmt.Sprintf(`{"region":"north","pools":{`+
+		`"web":{"size":{"targets":%d,"workers":2},"budget":{"targets":0,"workers":1}},`+
+		`"batch":{"size":{"targets":2,"workers":2},"budget":{"targets":1,"workers":1}},`+
+		`"spare":{"size":{"targets":1,"workers":1},"budget":{"targets":0,"workers":0}}}}`, size)
+}
+
+// large returns files of the target size: 14 sites and 290 pools.
+func large() []config.Content {
+	base := config.Settings{Pools: nil, Routes: []config.Route{}, Weights: config.Weights{Buffer: 1}}
+	tree := map[string]any{"teams": map[string]any{}, "routes": base.Routes, "weights": base.Weights, "maintenance": base.Maintenance}
+	pools, sizes := map[string]any{}, map[string]any{}
+	for i := range 290 {
+		name := fmt.Sprintf("pool-%03d", i)
+		pools[name] = map[string]any{"slots": 8, "connections": 64, "queue": 256, "timeout": 10000, "spare": i == 0}
+		sizes[name] = map[string]any{"size": map[string]int{"targets": 3, "workers": 2}, "budget": map[string]int{"targets": 2, "workers": 1}}
+	}
+	tree["pools"] = pools
+	files := []config.Content{{Name: config.Base, Data: encode(tree)}}
+	for i := range 14 {
+		name := config.File(fmt.Sprintf("site/site-%02d", i))
+		files = append(files, config.Content{Name: name, Data: encode(map[string]any{"region": "north", "pools": sizes})})
+	}
+	return files
+}
+
+func encode(value any) json.RawMessage {
+	data, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
+func read(t testing.TB, path string) []byte {
+	t.Helper()
+	data, err := os.ReadFile(path) //nolint:gosec // The test names the file.
+	require.NoError(t, err)
+	return data
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,157 @@
+// Package settings reads the settings of an entry process: who it is, where it listens and where the
+// platform is. What operators publish for the fleet is in package config.
+package settings
+
+import (
+	_ "embed" // for the schema
+	"encoding/json"
+	"net"
+	"net/netip"
+	"net/url"
+	"os"
+	"strconv"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/document"
+	"hibiscuslane.example/hibiscuslane/event"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/site"
+)
+
+// Settings are the process settings of an entry.
+type Settings struct {
+	// ID is the name of the entry in the platform's list.
+	ID instance.ID `json:"id"`
+	// Centre is the data centre, and thereby the site, that the entry runs in.
+	Centre   site.DataCentre `json:"centre"`
+	Listen   Listen          `json:"listen"`
+	Platform Platform        `json:"platform"`
+	Log      Log             `json:"log"`
+	// Stop bounds the graceful shutdown, in milliseconds.
+	Stop int64 `json:"stop"`
+}
+
+// Listen holds the addresses that an entry listens on, each an IP address and a port.
+type Listen struct {
+	Callers instance.Address `json:"callers"`
+	Peers   instance.Address `json:"peers"`
+	Admin   instance.Address `json:"admin"`
+}
+
+// Platform says where the platform is.
+type Platform struct {
+	// Base is the URL of log, list and control, without a trailing slash.
+	Base string `json:"base"`
+}
+
+// Log selects what is logged and how.
+type Log struct {
+	Level  string       `json:"level"`
+	Format event.Format `json:"format"`
+}
+
+// Defaults of settings that may be left out.
+const (
+	DefaultLevel        = "info"
+	DefaultFormat       = event.FormatJSON
+	DefaultStop   int64 = 30_000 // milliseconds
+)
+
+//go:embed schema.json
+var schemaText []byte
+
+var schema = document.MustCompile(schemaText)
+
+// StopTimeout returns the bound of the graceful shutdown.
+func (s Settings) StopTimeout() time.Duration { return time.Duration(s.Stop) * time.Millisecond }
+
+// Load reads settings from a file. It fails with ReadError or CheckError.
+func Load(path string) (Settings, error) {
+	data, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
+	if err != nil {
+		return Settings{}, &ReadError{Path: path, Cause: err}
+	}
+	s, err := Parse(data)
+	if check := asCheckError(err); check != nil {
+		check.Path = path
+	}
+	return s, err
+}
+
+// Parse reads settings and fills in the defaults. It fails with a CheckError that lists every fault.
+func Parse(data []byte) (Settings, error) {
+	tree, faults := document.Decode(data)
+	if len(faults) > 0 {
+		return Settings{}, newCheckError(faults)
+	}
+	if faults = schema.Validate(tree); len(faults) > 0 {
+		return Settings{}, newCheckError(faults)
+	}
+	canonical, err := json.Marshal(tree)
+	if err != nil {
+		return Settings{}, newCheckError([]document.Fault{{Reason: err.Error()}})
+	}
+	s := Settings{Log: Log{Level: DefaultLevel, Format: DefaultFormat}, Stop: DefaultStop}
+	if err := json.Unmarshal(canonical, &s); err != nil {
+		return Settings{}, newCheckError([]document.Fault{{Reason: err.Error()}})
+	}
+	if faults = s.rules(); len(faults) > 0 {
+		return Settings{}, newCheckError(faults)
+	}
+	return s, nil
+}
+
+// rules returns what is wrong with settings that match the schema.
+func (s Settings) rules() []document.Fault {
+	var faults []document.Fault
+	add := func(pointer, reason string) {
+		if reason != "" {
+			faults = append(faults, document.Fault{Pointer: pointer, Reason: reason})
+		}
+	}
+	listen := []struct {
+		pointer string
+		address instance.Address
+	}{
+		{"/listen/callers", s.Listen.Callers},
+		{"/listen/peers", s.Listen.Peers},
+		{"/listen/admin", s.Listen.Admin},
+	}
+	used := map[instance.Address]string{}
+	for _, l := range listen {
+		add(l.pointer, addressFault(l.address))
+		if first, repeated := used[l.address]; repeated && !anyPort(l.address) {
+			add(l.pointer, "is the same address as "+first)
+			continue
+		}
+		used[l.address] = l.pointer
+	}
+	add("/platform/base", baseFault(s.Platform.Base))
+	return faults
+}
+
+func addressFault(address instance.Address) string {
+	if _, err := netip.ParseAddrPort(string(address)); err != nil {
+		return "is " + strconv.Quote(string(address)) + ", must be an IP address and a port, such as 127.0.0.1:8080"
+	}
+	return ""
+}
+
+// anyPort reports whether the system chooses the port, which makes equal addresses distinct.
+func anyPort(address instance.Address) bool {
+	_, port, err := net.SplitHostPort(string(address))
+	return err == nil && port == "0"
+}
+
+func baseFault(base string) string {
+	address, err := url.Parse(base)
+	switch {
+	case err != nil || address.Host == "" || (address.Scheme != "http" && address.Scheme != "https"):
+		return "is " + strconv.Quote(base) + ", must be an http or https URL with a host"
+	case address.RawQuery != "" || address.Fragment != "":
+		return "must have neither query nor fragment"
+	case base[len(base)-1] == '/':
+		return "must not end with a slash"
+	}
+	return ""
+}
