--- a/cmd/root.go
+++ b/cmd/root.go
@@ -22,11 +22,13 @@
 }
 
 func newRoot() *cobra.Command {
-	return &cobra.Command{
+	root := &cobra.Command{
 		Use:           "hibiscuslane",
 		Short:         "Fleet capacity and maintenance manager",
 		Version:       Version,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newServe())
+	return root
 }
--- /dev/null
+++ b/cmd/serve.go
@@ -0,0 +1,38 @@
+package cmd
+
+import (
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+
+	"hibiscuslane.example/hibiscuslane/entry"
+	"hibiscuslane.example/hibiscuslane/event"
+	"hibiscuslane.example/hibiscuslane/settings"
+)
+
+func newServe() *cobra.Command {
+	var path string
+	command := &cobra.Command{
+		Use:   "serve",
+		Short: "Run an entry instance",
+		Long:  "Run an entry instance until SIGTERM or SIGINT, then finish the work in flight and exit.",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			s, err := settings.Load(path)
+			if err != nil {
+				return err
+			}
+			e, err := entry.New(s, entry.Options{Events: event.NewLog(os.Stderr, "hibiscuslane", s.Log.Level, s.Log.Format)})
+			if err != nil {
+				return err
+			}
+			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, os.Interrupt)
+			defer stop()
+			return e.Run(ctx)
+		},
+	}
+	command.Flags().StringVar(&path, "settings", "hibiscuslane.json", "settings file (JSON)")
+	return command
+}
--- /dev/null
+++ b/metric/metric.go
@@ -0,0 +1,137 @@
+// Package metric holds the OpenTelemetry instruments of an entry and serves them to scrapers.
+package metric
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/attribute"
+	otelprometheus "go.opentelemetry.io/otel/exporters/prometheus"
+	otelmetric "go.opentelemetry.io/otel/metric"
+	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+const scope = "hibiscuslane"
+
+// Reading is one value of a gauge with the object that it describes.
+type Reading struct {
+	// Label and Object name what is measured, for example pool and its name. Label is empty for a
+	// value of the whole entry.
+	Label, Object string
+	Value         float64
+}
+
+// Set is the set of instruments of one entry.
+type Set struct {
+	registry *prometheus.Registry
+	provider *sdk.MeterProvider
+	meter    otelmetric.Meter
+	requests otelmetric.Int64Counter
+	duration otelmetric.Float64Histogram
+}
+
+// InstrumentError reports an instrument that cannot be created.
+type InstrumentError struct {
+	Name  string
+	Cause error
+}
+
+func (e *InstrumentError) Error() string {
+	return "metric " + e.Name + " cannot be created: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *InstrumentError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Coded.
+func (e *InstrumentError) Code() failure.Code { return failure.CodeInternal }
+
+// Outcome implements failure.Coded.
+func (e *InstrumentError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// New returns the instruments of an entry.
+func New() (*Set, error) {
+	registry := prometheus.NewRegistry()
+	exporter, err := otelprometheus.New(otelprometheus.WithRegisterer(registry), otelprometheus.WithoutScopeInfo(), otelprometheus.WithoutTargetInfo())
+	if err != nil {
+		return nil, &InstrumentError{Name: "exporter", Cause: err}
+	}
+	provider := sdk.NewMeterProvider(sdk.WithReader(exporter))
+	s := &Set{registry: registry, provider: provider, meter: provider.Meter(scope)}
+	s.requests, err = s.meter.Int64Counter("hibiscuslane_requests", otelmetric.WithDescription("answered requests of callers by outcome and status"))
+	if err != nil {
+		return nil, &InstrumentError{Name: "requests", Cause: err}
+	}
+	s.duration, err = s.meter.Float64Histogram("hibiscuslane_request_duration", otelmetric.WithUnit("s"),
+		otelmetric.WithDescription("time from the arrival of a request to its answer"),
+		otelmetric.WithExplicitBucketBoundaries(0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30))
+	if err != nil {
+		return nil, &InstrumentError{Name: "duration", Cause: err}
+	}
+	return s, nil
+}
+
+// Gauge registers a gauge whose values are read at each scrape.
+func (s *Set) Gauge(name, description string, read func() []Reading) error {
+	_, err := s.meter.Float64ObservableGauge("hibiscuslane_"+name, otelmetric.WithDescription(description),
+		otelmetric.WithFloat64Callback(func(_ context.Context, o otelmetric.Float64Observer) error {
+			for _, r := range read() {
+				if r.Label == "" {
+					o.Observe(r.Value)
+					continue
+				}
+				o.Observe(r.Value, otelmetric.WithAttributes(attribute.String(r.Label, r.Object)))
+			}
+			return nil
+		}))
+	if err != nil {
+		return &InstrumentError{Name: name, Cause: err}
+	}
+	return nil
+}
+
+// Handler serves the metrics in the text format of scrapers.
+func (s *Set) Handler() http.Handler {
+	return promhttp.HandlerFor(s.registry, promhttp.HandlerOpts{})
+}
+
+// Close ends the collection.
+func (s *Set) Close(ctx context.Context) error {
+	return s.provider.Shutdown(ctx)
+}
+
+// Count wraps a handler so that its answers are counted.
+func (s *Set) Count(next http.Handler, clock *timer.Service) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		start := clock.Now()
+		recorder := &recorder{ResponseWriter: w, status: http.StatusOK}
+		next.ServeHTTP(recorder, r)
+		labels := otelmetric.WithAttributes(
+			attribute.String("outcome", w.Header().Get(failure.HeaderOutcome)),
+			attribute.String("status", strconv.Itoa(recorder.status)),
+		)
+		s.requests.Add(r.Context(), 1, labels)
+		s.duration.Record(r.Context(), clock.Since(start).Seconds(), labels)
+	})
+}
+
+// recorder keeps the status of an answer.
+type recorder struct {
+	http.ResponseWriter
+	status int
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (r *recorder) WriteHeader(status int) {
+	r.status = status
+	r.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap lets http.ResponseController reach the connection.
+func (r *recorder) Unwrap() http.ResponseWriter { return r.ResponseWriter }
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -42,6 +42,8 @@
 type Platform struct {
 	// Base is the URL of log, list and control, without a trailing slash.
 	Base string `json:"base"`
+	// Retention is the time in milliseconds for which the log keeps records.
+	Retention int64 `json:"retention"`
 }
 
 // Log selects what is logged and how.
@@ -55,6 +57,8 @@
 	DefaultLevel        = "info"
 	DefaultFormat       = event.FormatJSON
 	DefaultStop   int64 = 30_000 // milliseconds
+	// DefaultRetention is in milliseconds.
+	DefaultRetention int64 = 3_600_000
 )
 
 //go:embed schema.json
@@ -65,6 +69,12 @@
 // StopTimeout returns the bound of the graceful shutdown.
 func (s Settings) StopTimeout() time.Duration { return time.Duration(s.Stop) * time.Millisecond }
 
+// SnapshotPeriod returns the greatest age of the newest snapshot of a stream. It is a third of the
+// retention, so that after one missed pass the log still holds a snapshot.
+func (s Settings) SnapshotPeriod() time.Duration {
+	return time.Duration(s.Platform.Retention) * time.Millisecond / 3
+}
+
 // Load reads settings from a file. It fails with ReadError or CheckError.
 func Load(path string) (Settings, error) {
 	data, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
@@ -91,7 +101,7 @@
 	if err != nil {
 		return Settings{}, newCheckError([]document.Fault{{Reason: err.Error()}})
 	}
-	s := Settings{Log: Log{Level: DefaultLevel, Format: DefaultFormat}, Stop: DefaultStop}
+	s := Settings{Log: Log{Level: DefaultLevel, Format: DefaultFormat}, Platform: Platform{Retention: DefaultRetention}, Stop: DefaultStop}
 	if err := json.Unmarshal(canonical, &s); err != nil {
 		return Settings{}, newCheckError([]document.Fault{{Reason: err.Error()}})
 	}
