--- a/fleet/index.go
+++ b/fleet/index.go
@@ -89,16 +89,32 @@
 	if x.groups == nil {
 		x.build(nil)
 	}
+	x.countDraining(before, -1)
+	x.countDraining(after, 1)
+	if before.ID != "" && after.ID != "" && groupOf(before) == groupOf(after) {
+		x.update(before, after)
+		return
+	}
 	if before.ID != "" {
-		x.countDraining(before, -1)
 		x.remove(before)
 	}
 	if after.ID != "" {
-		x.countDraining(after, 1)
 		x.insert(after)
 	}
 }
 
+// update exchanges a member in place of two copies of the members, since most records leave the pool
+// as it is.
+func (x *index) update(before, after Instance) {
+	entry := x.groups[groupOf(after)]
+	at, _ := slices.BinarySearchFunc(entry.members, after, compare)
+	entry.members = slices.Clone(entry.members)
+	entry.members[at] = after
+	entry.counts.add(before.Phase, -1)
+	entry.counts.add(after.Phase, 1)
+	x.groups[groupOf(after)] = entry
+}
+
 func (x *index) remove(i Instance) {
 	entry := x.groups[groupOf(i)]
 	at, _ := slices.BinarySearchFunc(entry.members, i, compare)
--- a/fleet/state_test.go
+++ b/fleet/state_test.go
@@ -246,6 +246,9 @@
 	})
 }
 
+// poolSize is the mean number of workers in a pool at the target size: 6600 in 290 pools.
+const poolSize = 23
+
 // BenchmarkFold measures the fold of one record (drain or join) and the bytes of state per instance.
 func BenchmarkFold(b *testing.B) {
 	for _, size := range []int{100, 1000, 6600} {
@@ -262,7 +265,7 @@
 			records := make([]record.Envelope, b.N)
 			for n := range records {
 				slot, round := n/2%size, n/2/size
-				id, name := instance.ID(fmt.Sprint("i", slot)), pool.Name(fmt.Sprint("p", slot%10))
+				id, name := instance.ID(fmt.Sprint("i", slot)), pool.Name(fmt.Sprint("p", slot/poolSize))
 				var body fleet.Body = &fleet.Drain{Subject: on(id, fleet.Version(2*round+1)), Next: name}
 				if n%2 == 1 {
 					body = join(id, fleet.Version(2*round+2), name, instance.Incarnation(round+2))
@@ -286,7 +289,7 @@
 	s := &fleet.State{}
 	for n := range size {
 		body := admit(instance.ID(fmt.Sprint("i", n)), 0, "p0", 1)
-		body.Pool = pool.Name(fmt.Sprint("p", n%10))
+		body.Pool = pool.Name(fmt.Sprint("p", n/poolSize))
 		require.Equal(t, stream.Applied, s.Fold(record.Offset(n), envelope(t, record.Offset(n), body)))
 	}
 	return s
--- /dev/null
+++ b/planner/plan_test.go
@@ -0,0 +1,229 @@
+package planner
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hibiscuslane.example/hibiscuslane/config"
+	"hibiscuslane.example/hibiscuslane/fleet"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/site"
+)
+
+// smallSites declares a pool with headroom, one without, and a spare pool, at three sites.
+func smallSites() map[site.Name]config.Settings {
+	sites := map[site.Name]config.Settings{}
+	for _, name := range []site.Name{"c1", "c2", "c3"} {
+		sites[name] = config.Settings{
+			Region: "r",
+			Pools: map[pool.Name]pool.Spec{
+				"loose": {Size: pool.Count{Targets: 2, Workers: 1}, Budget: pool.Count{Targets: 1}},
+				"tight": {Size: pool.Count{Targets: 2}, Budget: pool.Count{Targets: 2}},
+				"spare": {Size: pool.Count{Targets: 1, Workers: 1}, Spare: true},
+			},
+			Maintenance: config.Maintenance{Days: 21, Rack: 1, Centre: 2, Pause: 3},
+		}
+	}
+	return sites
+}
+
+// step is one random event of a history.
+func (w *world) step(t *rapid.T) {
+	n := rapid.IntRange(0, len(w.views)-1).Draw(t, "viewer")
+	v := w.views[n]
+	switch rapid.SampledFrom([]string{"fail", "advance", "advance", "read", "see", "plan", "plan", "act", "report", "restart"}).Draw(t, "step") {
+	case "fail":
+		m := rapid.SampledFrom(w.machines).Draw(t, "machine")
+		w.stop(m, time.Duration(rapid.IntRange(10, 3600).Draw(t, "seconds"))*time.Second)
+	case "advance":
+		w.advance(time.Duration(rapid.IntRange(1, 300).Draw(t, "seconds")) * time.Second)
+	case "read":
+		w.read(v, rapid.IntRange(1, 20).Draw(t, "records"))
+	case "see":
+		w.see(n)
+	case "plan":
+		for _, p := range w.plan(n) {
+			copies := rapid.SampledFrom([]int{0, 1, 1, 1, 2}).Draw(t, "copies")
+			for range copies {
+				w.append(p.Body)
+			}
+		}
+	case "act":
+		w.act(n)
+	case "report":
+		m := rapid.SampledFrom(w.machines).Draw(t, "machine")
+		v.failing = map[instance.ID]time.Duration{m.ID: time.Duration(rapid.IntRange(0, 600).Draw(t, "seconds")) * time.Second}
+	case "restart":
+		w.views[n] = &viewer{}
+		w.see(n)
+	}
+}
+
+// TestRandomHistories guards, over failures, lagging views, racing planners, lost and repeated
+// appends, restarts and maintenance, against an instance in two pools, a pool that changes without a
+// higher incarnation, a pool taken below its budget by a drain, and a plan that never comes to rest.
+func TestRandomHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, smallSites(), 2)
+		w.build(0)
+		if rapid.Bool().Draw(t, "due") {
+			w.advance(16 * day)
+		}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			w.step(t)
+		}
+		w.settle(t)
+	})
+}
+
+// settle ends all failures and expects the plans to become empty, all sizes to be met, and every
+// instance to have been visited by maintenance.
+func (w *world) settle(t require.TestingT) {
+	for _, m := range w.machines {
+		if !m.up {
+			m.wakes = w.now
+		}
+	}
+	for _, v := range w.views {
+		v.failing = nil
+	}
+	const rounds, quiet = 300, 20 // 20 rounds of a minute outlast every delay of the planner
+	for n, idle := 0, 0; idle < quiet; n++ {
+		require.Less(t, n, rounds, "the plan does not come to rest; it still proposes\n%s", reasons(w.plan(0)))
+		idle++
+		if w.round(time.Minute) > 0 {
+			idle = 0
+		}
+	}
+	for name, kinds := range map[pool.Name]map[instance.Kind]int{"loose": {instance.KindTarget: 6, instance.KindWorker: 3}, "tight": {instance.KindTarget: 6}} {
+		for kind, size := range kinds {
+			require.Equal(t, fleet.Counts{Active: size}, w.state.Counts(name, kind), "pool %s, kind %s", name, kind)
+		}
+	}
+	for _, i := range w.state.All() {
+		require.Less(t, w.now.Sub(i.Joined.Std()), 21*day, "maintenance did not visit %s", i.ID)
+	}
+}
+
+// TestBurst guards against instances that move because of a burst: high demand, and targets that look
+// failing, for a few seconds.
+func TestBurst(t *testing.T) {
+	w := newWorld(t, smallSites(), 1)
+	w.build(0)
+	w.advance(time.Hour)
+	w.see(0)
+	in := w.input(0)
+	in.History.Demand = map[pool.Name]float64{"loose": 30}
+	in.Failing = map[instance.ID]time.Duration{}
+	in.Missing = map[instance.ID]time.Duration{}
+	for n, i := range in.Fleet {
+		in.Failing[i.ID] = time.Duration(n%10) * time.Second
+		in.Missing[i.ID] = time.Duration(n%7) * time.Second
+	}
+	require.Empty(t, reasons(Plan(in)))
+}
+
+// TestDataCentreLoss guards against a lost data centre that is not replaced from the spare pool, or
+// that is replaced by more instances than the pools lack.
+func TestDataCentreLoss(t *testing.T) {
+	w := newWorld(t, smallSites(), 1)
+	w.build(0)
+	for _, m := range w.machines {
+		if m.Centre == "c2" {
+			w.stop(m, 3*time.Hour)
+		}
+	}
+	for range 60 {
+		w.round(30 * time.Second)
+	}
+	require.Equal(t, 6, w.state.Counts("tight", instance.KindTarget).Active, "the pool below its budget comes first")
+	require.Equal(t, 0, w.state.Counts("spare", instance.KindTarget).Active, "all spare targets are in use")
+	require.Equal(t, 3, w.moves, "two targets and one worker were spare")
+	w.advance(3 * time.Hour)
+	w.settle(t)
+}
+
+// TestListFault guards against a list that comes back nearly empty and has the whole fleet declared
+// lost.
+func TestListFault(t *testing.T) {
+	w := newWorld(t, smallSites(), 1)
+	w.build(0)
+	w.advance(time.Hour)
+	w.views[0].presence.add(w.now, w.list()[:3])
+	require.Empty(t, reasons(w.plan(0)))
+	w.views[0].presence.add(w.now, []platform.Listing{})
+	require.Empty(t, reasons(w.plan(0)))
+}
+
+// TestWave guards against maintenance that goes on while failures come in a wave, and against drains
+// beyond the limits of rack and data centre.
+func TestWave(t *testing.T) {
+	w := newWorld(t, smallSites(), 1)
+	w.build(0)
+	w.advance(16 * day)
+	w.see(0)
+	centres, racks := map[site.DataCentre]int{}, map[domain]int{}
+	plan := w.plan(0)
+	require.NotEmpty(t, plan)
+	for _, p := range plan {
+		drain := p.Body.(*fleet.Drain)
+		i, _ := w.state.Instance(drain.ID)
+		if drain.Next == i.Pool {
+			centres[i.Centre]++
+			racks[domain{centre: i.Centre, rack: i.Rack}]++
+			require.LessOrEqual(t, centres[i.Centre], 2)
+			require.LessOrEqual(t, racks[domain{centre: i.Centre, rack: i.Rack}], 1)
+		}
+	}
+	in := w.input(0)
+	for _, i := range in.Fleet[:3] {
+		in.History.Failures = append(in.History.Failures, Failure{ID: i.ID, At: w.now.Add(-9 * time.Minute)})
+	}
+	require.Empty(t, reasons(Plan(in)), "three failures in ten minutes pause maintenance")
+}
+
+// TestReplacementSite guards against a replacement from another site while the same site has a spare
+// instance, and against no replacement when only another site has one.
+func TestReplacementSite(t *testing.T) {
+	for want, lost := range map[site.DataCentre][]pool.Name{"c3": {"tight"}, "c1": {"tight", "spare"}} {
+		w := newWorld(t, smallSites(), 1)
+		w.build(0)
+		for _, i := range w.state.All() {
+			if i.Centre == "c3" && i.Kind == instance.KindTarget && slices.Contains(lost, i.Pool) {
+				w.stop(w.machine(i.ID), time.Hour)
+			}
+		}
+		w.round(20 * time.Second)
+		first, ok := w.plan(0), false
+		require.Empty(t, first, "the plan is complete in one round")
+		for _, c := range w.state.Audit(0) {
+			if c.Kind == fleet.KindDrain && !ok {
+				i, _ := w.state.Instance(c.ID)
+				require.Equal(t, want, i.Centre)
+				ok = true
+			}
+		}
+		require.True(t, ok)
+	}
+}
+
+// TestSpread guards against a new fleet whose first site fills the pools of all sites.
+func TestSpread(t *testing.T) {
+	w := newWorld(t, smallSites(), 1)
+	w.build(0)
+	count := map[place]int{}
+	for _, i := range w.state.All() {
+		count[place{group: group{pool: i.Pool, kind: i.Kind}, site: site.Name(i.Centre)}]++
+	}
+	for name, settings := range w.sites {
+		for poolName, spec := range settings.Pools {
+			require.Equal(t, spec.Size.Targets, count[place{group: group{pool: poolName, kind: instance.KindTarget}, site: name}])
+		}
+	}
+}
