--- a/entry/entry.go
+++ b/entry/entry.go
@@ -236,6 +236,9 @@
 		Ready: e.unready() == nil, Stopping: e.stopping.Load(), Config: int64(e.config.Version()),
 		Offsets: map[string]int64{}, Silence: -1,
 	}
+	for _, id := range e.table.Ejected() {
+		status.Failing = append(status.Failing, string(id))
+	}
 	for name, c := range e.channels {
 		status.Offsets[string(name)] = int64(c.follower.Offset())
 		status.Silence = max(status.Silence, e.silence(c))
@@ -260,6 +263,7 @@
 	start(e.slots.Run)
 	start(e.claimer.Run)
 	start(e.followTargets)
+	start(e.newPlanner().Run)
 	start(func(ctx context.Context) error { return e.table.Run(ctx, e.transport) })
 	start(e.watchReadiness)
 	e.events.Info(eventStarted, "incarnation", e.self.Incarnation, "callers", e.listeners.callers.Addr(),
--- a/snapshot/keeper.go
+++ b/snapshot/keeper.go
@@ -136,7 +136,7 @@
 func images(ctx context.Context, log platform.Log, name record.Stream, clock *timer.Service) ([]written, error) {
 	ctx, cancel := clock.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	head, err := log.Read(ctx, name.Snapshot(), endOfStream, 0, 0)
+	head, err := log.Read(ctx, name.Snapshot(), endOfStream, 1, 0)
 	if err != nil {
 		return nil, err
 	}
--- a/snapshot/loader.go
+++ b/snapshot/loader.go
@@ -79,7 +79,7 @@
 func (l *Loader) checkTail(ctx context.Context) error {
 	ctx, cancel := l.Timer.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	head, err := l.Log.Read(ctx, l.Follower.Stream, endOfStream, 0, 0)
+	head, err := l.Log.Read(ctx, l.Follower.Stream, endOfStream, 1, 0)
 	if err != nil {
 		return err
 	}
