--- /dev/null
+++ b/admin/admin.go
@@ -0,0 +1,107 @@
+// Package admin serves the administration calls of an entry over HTTP and holds the client for them.
+package admin
+
+import (
+	"context"
+
+	"hibiscuslane.example/hibiscuslane/config"
+	"hibiscuslane.example/hibiscuslane/fleet"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/site"
+)
+
+// Paths of the calls.
+const (
+	PathConfig = "/config"
+	PathAudit  = "/audit"
+	PathStatus = "/status"
+)
+
+// Configuration is what the handlers read; *config.State implements it.
+type Configuration interface {
+	Overview() (record.Offset, []config.Published, map[site.Name]*config.Settings)
+	Version() record.Offset
+	Preview(p config.Publish) (config.Difference, error)
+	Conflict(p config.Publish) error
+}
+
+// Publisher appends a record and waits for its verdict; *stream.Proposer implements it.
+type Publisher interface {
+	Propose(ctx context.Context, kind record.Kind, author record.Author, body any) (record.Offset, error)
+}
+
+// Reporter tells the status of the entry.
+type Reporter interface {
+	Status() Status
+}
+
+// ConfigAnswer answers GET /config.
+type ConfigAnswer struct {
+	// Version is the offset of the last publish in force; -1 if there is none.
+	Version record.Offset                  `json:"version"`
+	Files   []config.Published             `json:"files"`
+	Sites   map[site.Name]*config.Settings `json:"sites"`
+}
+
+// PublishRequest is the body of POST /config.
+type PublishRequest struct {
+	Files  []config.FileChange `json:"files"`
+	Author record.Author       `json:"author"`
+	Reason string              `json:"reason"`
+}
+
+// PublishAnswer answers POST /config.
+type PublishAnswer struct {
+	// Version is the offset of the publish, which is now the version of its files; -1 for a dry run.
+	Version record.Offset `json:"version"`
+	Dry     bool          `json:"dry,omitempty"`
+	// Difference is what the publish changes, compared with what was in force when it arrived. It is
+	// absent if the entry had not read the versions yet that the publish is based on.
+	Difference *config.Difference `json:"difference,omitempty"`
+}
+
+// Status answers GET /status.
+type Status struct {
+	ID          instance.ID          `json:"id"`
+	Incarnation instance.Incarnation `json:"incarnation"`
+	Centre      site.DataCentre      `json:"centre"`
+	Ready       bool                 `json:"ready"`
+	// Reason says why the entry is not ready.
+	Reason string `json:"reason,omitempty"`
+	// Version is the configuration in force at this entry.
+	Version record.Offset `json:"version"`
+	// Offsets holds the next offset to fold of each stream.
+	Offsets   map[record.Stream]record.Offset `json:"offsets"`
+	Peers     []PeerStatus                    `json:"peers"`
+	Pools     []PoolStatus                    `json:"pools"`
+	Instances []fleet.Instance                `json:"instances"`
+}
+
+// PeerStatus is what an entry knows of another one.
+type PeerStatus struct {
+	ID          instance.ID          `json:"id"`
+	Incarnation instance.Incarnation `json:"incarnation"`
+	Centre      site.DataCentre      `json:"centre"`
+	// Version is the configuration that the peer reported in force.
+	Version record.Offset `json:"version"`
+	// Silence is the time since the last report, in milliseconds.
+	Silence int64 `json:"silence"`
+}
+
+// PoolStatus counts the instances of a pool at a site per phase.
+type PoolStatus struct {
+	Site    site.Name `json:"site"`
+	Pool    pool.Name `json:"pool"`
+	Spec    pool.Spec `json:"spec"`
+	Targets Phases    `json:"targets"`
+	Workers Phases    `json:"workers"`
+}
+
+// Phases counts instances per phase.
+type Phases struct {
+	Active   int `json:"active"`
+	Draining int `json:"draining"`
+	Lost     int `json:"lost"`
+}
--- /dev/null
+++ b/admin/client.go
@@ -0,0 +1,138 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/audit"
+	"hibiscuslane.example/hibiscuslane/failure"
+)
+
+// maxAnswerBytes bounds an answer, so that a faulty one cannot exhaust memory.
+const maxAnswerBytes = 64 << 20
+
+// ClientTimeout is a suitable timeout for the HTTP client of Client.
+const ClientTimeout = publishTimeout + 4*time.Second
+
+// Client calls the admin address of an entry.
+type Client struct {
+	// Base is the URL of the admin address.
+	Base string
+	// HTTP is the client for calls; nil means http.DefaultClient.
+	HTTP *http.Client
+}
+
+// Config returns the files with versions and the merged settings.
+func (c *Client) Config(ctx context.Context) (ConfigAnswer, error) {
+	var answer ConfigAnswer
+	err := c.call(ctx, http.MethodGet, PathConfig, nil, func(body io.Reader) error { return json.NewDecoder(body).Decode(&answer) })
+	return answer, err
+}
+
+// Status returns the status of the entry.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var status Status
+	err := c.call(ctx, http.MethodGet, PathStatus, nil, func(body io.Reader) error { return json.NewDecoder(body).Decode(&status) })
+	return status, err
+}
+
+// Publish publishes files, or only checks them if dry is set. An error with the outcome unknown may
+// hide a publish that is in force; the audit trail tells.
+func (c *Client) Publish(ctx context.Context, request PublishRequest, dry bool) (PublishAnswer, error) {
+	path := PathConfig
+	if dry {
+		path += "?dry=true"
+	}
+	data, err := json.Marshal(request)
+	if err != nil {
+		return PublishAnswer{}, &RequestError{Reason: "request cannot be encoded", Cause: err}
+	}
+	var answer PublishAnswer
+	err = c.call(ctx, http.MethodPost, path, data, func(body io.Reader) error { return json.NewDecoder(body).Decode(&answer) })
+	return answer, err
+}
+
+// Audit returns the audit trail from a time on; the zero time means all of it.
+func (c *Client) Audit(ctx context.Context, from time.Time) ([]audit.Entry, error) {
+	path := PathAudit
+	if !from.IsZero() {
+		path += "?" + url.Values{"from": {from.Format(time.RFC3339Nano)}}.Encode()
+	}
+	var entries []audit.Entry
+	err := c.call(ctx, http.MethodGet, path, nil, func(body io.Reader) error {
+		decoder := json.NewDecoder(body)
+		for {
+			var entry audit.Entry
+			err := decoder.Decode(&entry)
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			if err != nil {
+				return err
+			}
+			entries = append(entries, entry)
+		}
+	})
+	return entries, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body []byte, read func(io.Reader) error) error {
+	name := method + " " + path
+	request, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(c.Base, "/")+path, bytes.NewReader(body))
+	if err != nil {
+		return &RequestError{Reason: "address of the entry is malformed", Cause: err}
+	}
+	request.Header.Set("Content-Type", "application/json")
+	client := c.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		return NewCallError(name, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	limited := io.LimitReader(response.Body, maxAnswerBytes)
+	if response.StatusCode != http.StatusOK {
+		return DecodeFailure(response.StatusCode, limited)
+	}
+	if err := read(limited); err != nil {
+		return &CallError{Call: name, Cause: err, Sent: true}
+	}
+	return nil
+}
+
+// NewCallError wraps an error of an HTTP client. A call for which no connection came about was not sent.
+func NewCallError(call string, err error) *CallError {
+	return &CallError{Call: call, Cause: err, Sent: !dialFailed(err)}
+}
+
+// dialFailed reports whether no connection came about, so that nothing was sent.
+func dialFailed(err error) bool {
+	var operation *net.OpError
+	return errors.As(err, &operation) && operation.Op == "dial"
+}
+
+// DecodeFailure reads the body of a failed call. A body of another form, such as one of a proxy, leaves
+// the outcome unknown unless the status says that the request was refused.
+func DecodeFailure(status int, body io.Reader) *RemoteError {
+	data, _ := io.ReadAll(body)
+	remote := &RemoteError{Status: status}
+	if err := json.Unmarshal(data, &remote.Body); err == nil && remote.Body.Code != "" && remote.Body.Outcome != "" {
+		return remote
+	}
+	remote.Body = failure.Body{Code: failure.CodeBroken, Outcome: failure.OutcomeUnknown, Reason: "unexpected answer with HTTP status " + strconv.Itoa(status)}
+	if status < http.StatusInternalServerError {
+		remote.Body.Code, remote.Body.Outcome = failure.CodeInvalid, failure.OutcomeNotRun
+	}
+	return remote
+}
--- /dev/null
+++ b/admin/handler.go
@@ -0,0 +1,140 @@
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/audit"
+	"hibiscuslane.example/hibiscuslane/config"
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+const (
+	// maxBodyBytes bounds the body of POST /config: 15 files of the largest size and some room.
+	maxBodyBytes = 16 << 20
+	// publishTimeout bounds the wait for the verdict on a publish. It is longer than two appends that
+	// time out and shorter than the timeout of Client, so that callers get the typed error.
+	publishTimeout = 8 * time.Second
+	// lagRetry is the hint to callers of an entry that lags behind the log.
+	lagRetry = time.Second
+)
+
+// Handler serves the administration calls. All fields but Status are required; without Status there is
+// no /status.
+type Handler struct {
+	Config    Configuration
+	Publisher Publisher
+	Trail     []audit.Source
+	Status    Reporter
+	Timer     *timer.Service
+}
+
+// Register adds the calls to a mux.
+func (h *Handler) Register(mux *http.ServeMux) {
+	mux.HandleFunc("GET "+PathConfig, h.getConfig)
+	mux.HandleFunc("POST "+PathConfig, h.postConfig)
+	mux.HandleFunc("GET "+PathAudit, h.getAudit)
+	if h.Status != nil {
+		mux.HandleFunc("GET "+PathStatus, h.getStatus)
+	}
+}
+
+func (h *Handler) getConfig(w http.ResponseWriter, _ *http.Request) {
+	version, files, sites := h.Config.Overview()
+	writeJSON(w, ConfigAnswer{Version: version, Files: files, Sites: sites})
+}
+
+func (h *Handler) getStatus(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, h.Status.Status())
+}
+
+func (h *Handler) postConfig(w http.ResponseWriter, r *http.Request) {
+	request, err := readPublish(w, r)
+	if err != nil {
+		failure.Write(w, "", err)
+		return
+	}
+	publish := config.Publish{Files: request.Files, Reason: request.Reason}
+	dry := r.URL.Query().Get("dry") == "true"
+	answer := PublishAnswer{Version: config.NoVersion, Dry: dry}
+	if answer.Difference, err = h.preview(publish, dry); err == nil && !dry {
+		answer.Version, err = h.publish(r, request.Author, publish)
+	}
+	if err != nil {
+		failure.Write(w, "", err)
+		return
+	}
+	writeJSON(w, answer)
+}
+
+// preview rejects a publish that cannot be applied before it costs an append. An entry that has not
+// read all versions yet that the publish is based on cannot tell: a dry run then fails, and a publish
+// goes on without a difference.
+func (h *Handler) preview(publish config.Publish, dry bool) (*config.Difference, error) {
+	version := h.Config.Version()
+	ahead := func(change config.FileChange) bool { return change.Based > version }
+	if i := slices.IndexFunc(publish.Files, ahead); i >= 0 {
+		if dry {
+			return nil, &LagError{Version: version, Based: publish.Files[i].Based}
+		}
+		return nil, publish.Validate()
+	}
+	difference, err := h.Config.Preview(publish)
+	if err != nil {
+		return nil, err
+	}
+	return &difference, nil
+}
+
+func (h *Handler) publish(r *http.Request, author record.Author, publish config.Publish) (record.Offset, error) {
+	ctx, cancel := h.Timer.WithTimeout(r.Context(), publishTimeout)
+	defer cancel()
+	offset, err := h.Publisher.Propose(ctx, config.KindPublish, author, publish)
+	if err == nil {
+		return offset, nil
+	}
+	if failure.Of(err).Code() == failure.CodeConflict {
+		// The state says more about the other publish than the verdict.
+		if conflict := h.Config.Conflict(publish); conflict != nil {
+			return offset, conflict
+		}
+	}
+	return offset, err
+}
+
+func (h *Handler) getAudit(w http.ResponseWriter, r *http.Request) {
+	var from time.Time
+	if text := r.URL.Query().Get("from"); text != "" {
+		var err error
+		if from, err = time.Parse(time.RFC3339, text); err != nil {
+			failure.Write(w, "", &RequestError{Reason: "from must be a time such as 2026-01-02T03:04:05Z", Cause: err})
+			return
+		}
+	}
+	w.Header().Set("Content-Type", "application/x-ndjson")
+	// A write error means that the caller is gone; nobody is left to tell.
+	_ = audit.WriteJSON(w, audit.Collect(from, h.Trail...))
+}
+
+func readPublish(w http.ResponseWriter, r *http.Request) (PublishRequest, error) {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	var request PublishRequest
+	if err := decoder.Decode(&request); err != nil {
+		return request, &RequestError{Reason: "body is malformed", Cause: err}
+	}
+	if request.Author == "" {
+		return request, &RequestError{Reason: "author is missing"}
+	}
+	return request, nil
+}
+
+func writeJSON(w http.ResponseWriter, answer any) {
+	w.Header().Set("Content-Type", "application/json")
+	// A write error means that the caller is gone; nobody is left to tell.
+	_ = json.NewEncoder(w).Encode(answer)
+}
--- /dev/null
+++ b/cmd/error.go
@@ -0,0 +1,136 @@
+package cmd
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/audit"
+	"hibiscuslane.example/hibiscuslane/failure"
+)
+
+// UsageError reports flags that do not fit together.
+type UsageError struct {
+	Reason string
+}
+
+func (e *UsageError) Error() string { return e.Reason }
+
+// Code implements failure.Coded.
+func (e *UsageError) Code() failure.Code { return failure.CodeInvalid }
+
+// Outcome implements failure.Coded.
+func (e *UsageError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// FaultsError reports how many faults check has printed.
+type FaultsError struct {
+	Count int
+}
+
+func (e *FaultsError) Error() string { return fmt.Sprintf("faults found: %d", e.Count) }
+
+// Code implements failure.Coded.
+func (e *FaultsError) Code() failure.Code { return failure.CodeInvalid }
+
+// Outcome implements failure.Coded.
+func (e *FaultsError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// RaceError reports a publish that lost a race to publishes of other operators.
+type RaceError struct {
+	Reason string
+	// Others are the publishes that the lost one did not know of, as far as the trail reaches.
+	Others []audit.Entry
+}
+
+func (e *RaceError) Error() string {
+	text := "lost a race, nothing was published: " + e.Reason
+	if len(e.Others) == 0 {
+		return text
+	}
+	var trail bytes.Buffer
+	if err := audit.WriteText(&trail, e.Others); err != nil {
+		return text
+	}
+	return text + "\n" + strings.TrimSuffix(trail.String(), "\n")
+}
+
+// Code implements failure.Coded.
+func (e *RaceError) Code() failure.Code { return failure.CodeConflict }
+
+// Outcome implements failure.Coded.
+func (e *RaceError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// IsRaceError reports whether err is a RaceError.
+func IsRaceError(err error) bool {
+	var race *RaceError
+	return errors.As(err, &race)
+}
+
+// RejectedError reports a publish whose answer was lost and whose record is invalid according to the
+// trail.
+type RejectedError struct {
+	Entry audit.Entry
+}
+
+func (e *RejectedError) Error() string {
+	return fmt.Sprintf("publish at offset %d is %s: %s", e.Entry.Offset, e.Entry.Verdict, e.Entry.Cause)
+}
+
+// Code implements failure.Coded.
+func (e *RejectedError) Code() failure.Code { return failure.CodeInvalid }
+
+// Outcome implements failure.Coded.
+func (e *RejectedError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// UnknownError reports a publish whose answer was lost and whose record did not appear in the trail. It
+// may still appear, because the entry repeats its appends.
+type UnknownError struct {
+	Waited time.Duration
+	Cause  error
+}
+
+func (e *UnknownError) Error() string {
+	return fmt.Sprintf("result of the publish is unknown, it was not in the trail after %s; read the trail before publishing again: %v", e.Waited, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnknownError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Coded.
+func (e *UnknownError) Code() failure.Code { return failure.CodePending }
+
+// Outcome implements failure.Coded.
+func (e *UnknownError) Outcome() failure.Outcome { return failure.OutcomeUnknown }
+
+// OutputError reports output that could not be written.
+type OutputError struct {
+	Cause error
+}
+
+func (e *OutputError) Error() string { return "output cannot be written: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *OutputError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Coded.
+func (e *OutputError) Code() failure.Code { return failure.CodeInternal }
+
+// Outcome implements failure.Coded.
+func (e *OutputError) Outcome() failure.Outcome { return failure.OutcomeUnknown }
+
+// AnswerError reports a successful answer that is not JSON.
+type AnswerError struct {
+	Status int
+}
+
+func (e *AnswerError) Error() string {
+	return fmt.Sprintf("answer with HTTP status %d is not JSON", e.Status)
+}
+
+// Code implements failure.Coded.
+func (e *AnswerError) Code() failure.Code { return failure.CodeBroken }
+
+// Outcome implements failure.Coded.
+func (e *AnswerError) Outcome() failure.Outcome { return failure.OutcomeUnknown }
--- /dev/null
+++ b/cmd/publish.go
@@ -0,0 +1,205 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os/user"
+	"slices"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"hibiscuslane.example/hibiscuslane/admin"
+	"hibiscuslane.example/hibiscuslane/config"
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/site"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+// defaultSettle is how long publish looks for its record in the trail after a lost answer. It exceeds
+// the time that an entry needs to repeat an append a few times.
+const defaultSettle = 15 * time.Second
+
+// publisher runs one publish.
+type publisher struct {
+	files  fileFlags
+	entry  string
+	remove []string
+	based  map[string]int64
+	author string
+	reason string
+	dry    bool
+	asJSON bool
+	settle time.Duration
+
+	client *admin.Client
+	timer  *timer.Service
+	out    io.Writer
+}
+
+func newPublish() *cobra.Command {
+	p := &publisher{}
+	c := &cobra.Command{
+		Use:   "publish",
+		Short: "Publish files, each based on a version",
+		Long: `Publish sets or removes files of the configuration in force. Each file is based on a version; if
+another operator has published the file since, nothing is published and the other change is shown.
+Without --based the versions are read just before the publish, and files that equal the published ones
+are left out. Give --based to detect changes that were made while you edited.
+
+The exit status is 0 if the publish is in force, 1 if it is not, and 2 if that is unknown.`,
+		Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			p.client = newAdminClient(p.entry)
+			p.out = c.OutOrStdout()
+			return p.run(c.Context())
+		},
+	}
+	p.files.register(c)
+	c.Flags().StringVar(&p.entry, "entry", defaultAdmin, "URL of the admin address of an entry")
+	c.Flags().StringSliceVar(&p.remove, "remove", nil, "site whose overlay is removed; may be repeated")
+	c.Flags().StringToInt64Var(&p.based, "based", nil, "version of each file, FILE=VERSION with FILE base or site/NAME; -1 for a new file")
+	c.Flags().StringVar(&p.author, "author", userName(), "your name in the audit trail")
+	c.Flags().StringVar(&p.reason, "reason", "", "why, for the audit trail")
+	c.Flags().BoolVar(&p.dry, "dry-run", false, "only check, and print the difference")
+	c.Flags().BoolVar(&p.asJSON, "json", false, "print the result as JSON")
+	c.Flags().DurationVar(&p.settle, "settle", defaultSettle, "how long to look for the record in the trail if the answer is lost")
+	return c
+}
+
+func userName() string {
+	current, err := user.Current()
+	if err != nil {
+		return ""
+	}
+	return current.Username
+}
+
+func (p *publisher) run(ctx context.Context) error {
+	if p.author == "" || (p.reason == "" && !p.dry) {
+		return &UsageError{Reason: "--author and --reason are required"}
+	}
+	changes, err := p.changes()
+	if err != nil {
+		return err
+	}
+	if p.based != nil {
+		err = p.nameVersions(changes)
+	} else {
+		changes, err = p.readVersions(ctx, changes)
+	}
+	if err != nil {
+		return err
+	}
+	if len(changes) == 0 {
+		return printText(p.out, "nothing to publish: the files equal the published ones\n")
+	}
+	return p.publish(ctx, admin.PublishRequest{Files: changes, Author: record.Author(p.author), Reason: p.reason})
+}
+
+// changes returns the files to set and to remove, without versions.
+func (p *publisher) changes() ([]config.FileChange, error) {
+	files, err := p.files.read()
+	if err != nil {
+		return nil, err
+	}
+	var changes []config.FileChange
+	var faults []config.Fault
+	for _, file := range files {
+		change := config.FileChange{Name: file.Name, Content: file.Data}
+		if wrong := change.Check(); len(wrong) > 0 {
+			faults = append(faults, wrong...)
+		}
+		changes = append(changes, change)
+	}
+	if len(faults) > 0 {
+		return nil, &config.CheckError{Faults: faults}
+	}
+	for _, name := range p.remove {
+		changes = append(changes, config.FileChange{Name: config.Overlay(site.Name(name))})
+	}
+	if len(changes) == 0 {
+		return nil, &UsageError{Reason: "no files given: use --dir, --base, --site or --remove"}
+	}
+	return changes, nil
+}
+
+// nameVersions takes the versions from --based.
+func (p *publisher) nameVersions(changes []config.FileChange) error {
+	for i := range changes {
+		version, ok := p.based[string(changes[i].Name)]
+		if !ok {
+			return &UsageError{Reason: fmt.Sprintf("--based lacks the version of %s", changes[i].Name)}
+		}
+		changes[i].Based = record.Offset(version)
+	}
+	return nil
+}
+
+// readVersions takes the versions from the entry and leaves out files that would not change, because
+// publishing them would make edits of other operators stale for nothing.
+func (p *publisher) readVersions(ctx context.Context, changes []config.FileChange) ([]config.FileChange, error) {
+	present, err := p.client.Config(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var changed []config.FileChange
+	for _, change := range changes {
+		change.Based = config.NoVersion
+		i := slices.IndexFunc(present.Files, func(file config.Published) bool { return file.Name == change.Name })
+		if i >= 0 {
+			change.Based = present.Files[i].Version
+			published := config.FileChange{Name: change.Name, Content: present.Files[i].Content}
+			if published.Digest() == change.Digest() {
+				continue
+			}
+		}
+		changed = append(changed, change)
+	}
+	return changed, nil
+}
+
+func (p *publisher) publish(ctx context.Context, request admin.PublishRequest) error {
+	mark := config.NoVersion
+	if !p.dry {
+		var err error
+		if mark, err = p.mark(ctx); err != nil {
+			return err
+		}
+	}
+	answer, err := p.client.Publish(ctx, request, p.dry)
+	if err == nil {
+		return p.print(answer, request)
+	}
+	coded := failure.Of(err)
+	switch {
+	case coded.Code() == failure.CodeConflict:
+		return p.race(ctx, request, err.Error())
+	case coded.Outcome() == failure.OutcomeUnknown && !p.dry:
+		return p.resolve(ctx, request, mark, err)
+	}
+	return err
+}
+
+func (p *publisher) print(answer admin.PublishAnswer, request admin.PublishRequest) error {
+	if p.asJSON {
+		return printJSON(p.out, answer)
+	}
+	if answer.Difference != nil {
+		if err := printText(p.out, "%s", answer.Difference.Text()); err != nil {
+			return err
+		}
+	}
+	for _, file := range request.Files {
+		state := fmt.Sprintf("published as version %d", answer.Version)
+		if answer.Dry {
+			state = "checked, not published"
+		}
+		if err := printText(p.out, "%s (from version %d): %s\n", file.Name, file.Based, state); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -2,31 +2,55 @@
 package cmd
 
 import (
+	"context"
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/spf13/cobra"
+
+	"hibiscuslane.example/hibiscuslane/failure"
 )
 
 // Version is set by the linker.
 var Version = "0.1.0-dev"
 
+// Exit statuses.
+const (
+	statusOK      = 0
+	statusFailed  = 1
+	statusUnknown = 2 // the action may or may not have taken effect
+)
+
 // Execute runs the command line and returns the exit status.
 func Execute() int {
-	root := newRoot()
-	if err := root.Execute(); err != nil {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := newRoot().ExecuteContext(ctx); err != nil {
 		fmt.Fprintln(os.Stderr, "hibiscuslane:", err)
-		return 1
+		return exitStatus(err)
+	}
+	return statusOK
+}
+
+func exitStatus(err error) int {
+	var coded failure.Coded
+	if errors.As(err, &coded) && coded.Code() != failure.CodeInternal && coded.Outcome() == failure.OutcomeUnknown {
+		return statusUnknown
 	}
-	return 0
+	return statusFailed
 }
 
 func newRoot() *cobra.Command {
-	return &cobra.Command{
+	root := &cobra.Command{
 		Use:           "hibiscuslane",
 		Short:         "Fleet capacity and maintenance manager",
 		Version:       Version,
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newCheck(), newPublish(), newStatus(), newAudit(), newJob())
+	return root
 }
--- a/config/publish.go
+++ b/config/publish.go
@@ -118,6 +118,16 @@
 	return nil
 }
 
+// Check returns what is wrong with the content by itself. Whether the merged settings are valid depends
+// on the other files.
+func (c FileChange) Check() []Fault {
+	if c.Removes() {
+		return nil
+	}
+	_, faults := decode(c.Name, c.Content)
+	return faults
+}
+
 // clip shortens a text to maxTextBytes or less, at a character boundary.
 func clip(text string) string {
 	if len(text) <= maxTextBytes {
