--- /dev/null
+++ b/admin/admin_test.go
@@ -0,0 +1,180 @@
+package admin_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/admin"
+	"hibiscuslane.example/hibiscuslane/audit"
+	"hibiscuslane.example/hibiscuslane/config"
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/stream"
+)
+
+// publisher folds publishes at once. Before, if set, runs first and may fail.
+type publisher struct {
+	state  *config.State
+	next   record.Offset
+	before func() error
+}
+
+func (p *publisher) Propose(_ context.Context, kind record.Kind, author record.Author, body any) (record.Offset, error) {
+	if p.before != nil {
+		before := p.before
+		p.before = nil
+		if err := before(); err != nil {
+			return 0, err
+		}
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, err
+	}
+	offset := p.next
+	p.next++
+	envelope := record.Envelope{Kind: kind, Author: author, Body: data, Time: time.Unix(int64(offset), 0)}
+	if verdict := p.state.Fold(offset, envelope); verdict.Result != stream.ResultApplied {
+		return offset, &stream.VerdictError{Stream: record.StreamConfig, Offset: offset, Verdict: verdict}
+	}
+	return offset, nil
+}
+
+func serve(t *testing.T) (*admin.Client, *publisher) {
+	t.Helper()
+	p := &publisher{state: &config.State{}}
+	handler := &admin.Handler{Config: p.state, Publisher: p, Trail: []audit.Source{p.state}}
+	mux := http.NewServeMux()
+	handler.Register(mux)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	client := &admin.Client{Base: server.URL}
+	_, err := client.Publish(context.Background(), admin.PublishRequest{Files: changes(t), Author: "ada", Reason: "first"}, false)
+	require.NoError(t, err)
+	return client, p
+}
+
+func changes(t *testing.T) []config.FileChange {
+	t.Helper()
+	files, err := config.ReadDir(filepath.Join("..", "examples", "small", "config"))
+	require.NoError(t, err)
+	var changes []config.FileChange
+	for _, file := range files {
+		changes = append(changes, config.FileChange{Name: file.Name, Based: config.NoVersion, Content: file.Data})
+	}
+	return changes
+}
+
+// alpha returns a publish of one overlay with another size of pool web.
+func alpha(t *testing.T, based record.Offset, size string) admin.PublishRequest {
+	t.Helper()
+	change := changes(t)[1]
+	change.Based = based
+	change.Content = json.RawMessage(strings.Replace(string(change.Content), `"targets": 2`, `"targets": `+size, 1))
+	return admin.PublishRequest{Files: []config.FileChange{change}, Author: "ben", Reason: "size"}
+}
+
+// TestPublish guards against publishes that are not in force when they are reported as such, and dry
+// runs that publish.
+func TestPublish(t *testing.T) {
+	ctx := context.Background()
+	client, p := serve(t)
+	answer, err := client.Publish(ctx, alpha(t, 0, "5"), true)
+	require.NoError(t, err)
+	require.Contains(t, answer.Difference.Text(), "/size/targets 2 -> 5")
+	require.Equal(t, record.Offset(0), p.state.Version())
+
+	answer, err = client.Publish(ctx, alpha(t, 0, "5"), false)
+	require.NoError(t, err)
+	present, err := client.Config(ctx)
+	require.NoError(t, err)
+	require.Equal(t, answer.Version, present.Version)
+	require.Equal(t, 5, present.Sites["alpha"].Pools["web"].Size.Targets)
+	entries, err := client.Audit(ctx, time.Unix(1, 0))
+	require.NoError(t, err)
+	require.Len(t, entries, 1)
+	require.Equal(t, record.Author("ben"), entries[0].Author)
+}
+
+// TestLostRace guards against a lost race that hides the other change, whether it is found before or
+// after the append.
+func TestLostRace(t *testing.T) {
+	client, p := serve(t)
+	other := alpha(t, 0, "5")
+	p.before = func() error {
+		_, err := p.Propose(context.Background(), config.KindPublish, "cyd", config.Publish{Files: other.Files, Reason: "first"})
+		return err
+	}
+	for range 2 {
+		_, err := client.Publish(context.Background(), alpha(t, 0, "6"), false)
+		require.Equal(t, failure.CodeConflict, failure.Of(err).Code())
+		require.ErrorContains(t, err, `by "cyd"`)
+		require.ErrorContains(t, err, "2 -> 5")
+	}
+	require.Equal(t, record.Offset(3), p.next, "the second try costs no append")
+}
+
+// TestLag guards against an entry that reports a lost race because it has not read the newest version.
+func TestLag(t *testing.T) {
+	client, p := serve(t)
+	_, err := client.Publish(context.Background(), alpha(t, 1, "6"), true)
+	require.Equal(t, failure.CodeUnready, failure.Of(err).Code())
+	p.before = func() error {
+		_, err := p.Propose(context.Background(), config.KindPublish, "cyd", config.Publish{Files: alpha(t, 0, "5").Files})
+		return err
+	}
+	answer, err := client.Publish(context.Background(), alpha(t, 1, "6"), false)
+	require.NoError(t, err)
+	require.Equal(t, record.Offset(2), answer.Version)
+}
+
+// TestFailures guards against outcomes that get lost on the way to the client.
+func TestFailures(t *testing.T) {
+	ctx := context.Background()
+	client, p := serve(t)
+	p.before = func() error {
+		return &stream.PendingError{Stream: record.StreamConfig, Cause: context.DeadlineExceeded}
+	}
+	_, err := client.Publish(ctx, alpha(t, 0, "5"), false)
+	require.Equal(t, failure.OutcomeUnknown, failure.Of(err).Outcome())
+	p.before = func() error { return &stream.OutageError{Stream: record.StreamConfig, Cause: context.DeadlineExceeded} }
+	_, err = client.Publish(ctx, alpha(t, 0, "5"), false)
+	require.Equal(t, failure.OutcomeNotRun, failure.Of(err).Outcome())
+
+	invalid := alpha(t, 0, "-1")
+	_, err = client.Publish(ctx, invalid, false)
+	require.Equal(t, failure.CodeInvalid, failure.Of(err).Code())
+	require.ErrorContains(t, err, "site/alpha#/pools/web/")
+	invalid.Author = ""
+	_, err = client.Publish(ctx, invalid, false)
+	require.ErrorContains(t, err, "author is missing")
+
+	closed := httptest.NewServer(nil)
+	closed.Close()
+	_, err = (&admin.Client{Base: closed.URL}).Config(ctx)
+	require.Equal(t, failure.OutcomeNotRun, failure.Of(err).Outcome())
+}
+
+// FuzzPost guards against bodies that stop the handler or put something invalid in force.
+func FuzzPost(f *testing.F) {
+	f.Add([]byte(`{"files":[{"name":"site/alpha","based":-1,"content":{}}],"author":"a","reason":"r"}`))
+	f.Add([]byte(`{"files":[{"name":"site/alpha","based":-1}],"author":"a"}`))
+	f.Add([]byte(`{"files":null,"author":"a"}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		p := &publisher{state: &config.State{}}
+		mux := http.NewServeMux()
+		(&admin.Handler{Config: p.state, Publisher: p}).Register(mux)
+		recorder := httptest.NewRecorder()
+		mux.ServeHTTP(recorder, httptest.NewRequest(http.MethodPost, admin.PathConfig, strings.NewReader(string(body))))
+		require.Equal(t, recorder.Code == http.StatusOK, p.state.Version() == 0)
+		require.True(t, json.Valid(recorder.Body.Bytes()))
+	})
+}
--- /dev/null
+++ b/cmd/cmd_test.go
@@ -0,0 +1,139 @@
+package cmd_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"hibiscuslane.example/hibiscuslane/admin"
+	"hibiscuslane.example/hibiscuslane/audit"
+	"hibiscuslane.example/hibiscuslane/cmd"
+	"hibiscuslane.example/hibiscuslane/config"
+	"hibiscuslane.example/hibiscuslane/fleet"
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/stream"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"hibiscuslane": func() { os.Exit(cmd.Execute()) }})
+}
+
+// TestScripts guards against subcommands whose output or exit status does not tell what happened.
+func TestScripts(t *testing.T) {
+	examples, err := filepath.Abs(filepath.Join("..", "examples"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			server := httptest.NewServer(newEntry())
+			env.Defer(server.Close)
+			env.Setenv("ENTRY", server.URL)
+			env.Setenv("EXAMPLES", examples)
+			return nil
+		},
+	})
+}
+
+// entry is an entry whose log is memory. The reason of a publish chooses the failure: "lost" loses the
+// answer after the append, "never" before it, "late" answers that the result is unknown and appends
+// once the trail has been read without the record.
+type entry struct {
+	http.ServeMux
+	state config.State
+
+	mu   sync.Mutex
+	next record.Offset
+	late func()
+	jobs map[string]string
+}
+
+func newEntry() *entry {
+	e := &entry{jobs: map[string]string{}}
+	handler := &admin.Handler{Config: &e.state, Publisher: e, Trail: []audit.Source{e}, Status: e}
+	handler.Register(&e.ServeMux)
+	e.HandleFunc("POST /-/jobs", e.submit)
+	e.HandleFunc("GET /-/jobs/{id}", func(w http.ResponseWriter, r *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"id":%q,"status":"done"}`, r.PathValue("id"))
+	})
+	return e
+}
+
+func (e *entry) Propose(_ context.Context, kind record.Kind, author record.Author, body any) (record.Offset, error) {
+	reason := body.(config.Publish).Reason
+	switch reason {
+	case "never":
+		panic(http.ErrAbortHandler)
+	case "late":
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.late = func() { _, _ = e.append(kind, author, body) }
+		return 0, &stream.PendingError{Stream: record.StreamConfig, Cause: context.DeadlineExceeded}
+	}
+	offset, err := e.append(kind, author, body)
+	if reason == "lost" {
+		panic(http.ErrAbortHandler)
+	}
+	return offset, err
+}
+
+func (e *entry) Trail() []audit.Entry {
+	trail := e.state.Trail()
+	e.mu.Lock()
+	late := e.late
+	e.late = nil
+	e.mu.Unlock()
+	if late != nil {
+		late()
+	}
+	return trail
+}
+
+func (e *entry) append(kind record.Kind, author record.Author, body any) (record.Offset, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	data, err := json.Marshal(body)
+	if err != nil {
+		return 0, err
+	}
+	offset := e.next
+	e.next++
+	verdict := e.state.Fold(offset, record.Envelope{Kind: kind, Author: author, Body: data, Time: time.Unix(int64(offset), 0)})
+	if verdict.Result != stream.ResultApplied {
+		return offset, &stream.VerdictError{Stream: record.StreamConfig, Offset: offset, Verdict: verdict}
+	}
+	return offset, nil
+}
+
+func (e *entry) Status() admin.Status {
+	return admin.Status{
+		ID: "entry-1", Centre: "alpha", Ready: true, Version: e.state.Version(),
+		Offsets:   map[record.Stream]record.Offset{"config": 1},
+		Peers:     []admin.PeerStatus{{ID: "entry-2", Centre: "beta", Version: 0, Silence: 700}},
+		Pools:     []admin.PoolStatus{{Site: "alpha", Pool: "web", Targets: admin.Phases{Active: 2, Draining: 1}}},
+		Instances: []fleet.Instance{},
+	}
+}
+
+// submit loses the answer to the first call of each key.
+func (e *entry) submit(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	key := r.Header.Get("Idempotency-Key")
+	if _, known := e.jobs[key]; !known {
+		e.jobs[key] = fmt.Sprintf("job-%d", len(e.jobs))
+		panic(http.ErrAbortHandler)
+	}
+	w.WriteHeader(http.StatusAccepted)
+	_, _ = fmt.Fprintf(w, `{"id":%q,"status":"queued"}`, e.jobs[key])
+}
--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -109,8 +109,10 @@
 	var faults []config.Fault
 	for _, file := range files {
 		change := config.FileChange{Name: file.Name, Content: file.Data}
-		if wrong := change.Check(); len(wrong) > 0 {
-			faults = append(faults, wrong...)
+		faults = append(faults, change.Check()...)
+		if change.Removes() {
+			// In a publish, null removes the file. Only --remove may do that.
+			faults = append(faults, config.Fault{File: file.Name, Reason: "must be an object"})
 		}
 		changes = append(changes, change)
 	}
