--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -2,8 +2,6 @@
 
 import (
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -28,9 +26,7 @@
 			if err != nil {
 				return err
 			}
-			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, os.Interrupt)
-			defer stop()
-			return e.Run(ctx)
+			return e.Run(command.Context())
 		},
 	}
 	command.Flags().StringVar(&path, "settings", "hibiscuslane.json", "settings file (JSON)")
