stream, entry: offset of the first copy, faster start; recovery proofs

When the answer to an append is lost, the record is in the log twice; the first copy takes effect and the acknowledgment names the second. Propose returned the second offset, so a publish reported a version that no file ever gets, and the next publish based on it would be stale.

Ruled out: a slow follower (all entries had folded past the offset) and a record applied twice (states were equal).

Before/after: TestLostAnswer expected offset 0 and would get 1; it now gets 0.

--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
+	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -36,6 +37,8 @@
 	platform *standin.Server
 	targets  []*target.Target
 	entries  []*node
+	// retention is the setting of new entries, in milliseconds.
+	retention int64
 }
 
 // node is one running entry.
@@ -45,11 +48,11 @@
 	done chan error
 }
 
-func startCluster(t *testing.T, entries int) *cluster {
+func startCluster(t *testing.T, entries int, options standin.Options) *cluster {
 	t.Helper()
-	server, err := standin.Start(standin.Options{})
+	server, err := standin.Start(options)
 	require.NoError(t, err)
-	c := &cluster{t: t, platform: server}
+	c := &cluster{t: t, platform: server, retention: settings.DefaultRetention}
 	for i := range 5 * len(centres) {
 		machine, err := target.Start(target.Options{Listing: platform.Listing{
 			ID: instance.ID(fmt.Sprint("target-", i)), Centre: centres[i%3], Rack: site.Rack(fmt.Sprint("rack-", i%3)),
@@ -70,7 +73,7 @@
 	const any = "127.0.0.1:0"
 	s := settings.Settings{
 		ID: id, Centre: centre, Listen: settings.Listen{Callers: any, Peers: any, Admin: any},
-		Platform: settings.Platform{Base: c.platform.URL(), Retention: settings.DefaultRetention}, Stop: 10_000,
+		Platform: settings.Platform{Base: c.platform.URL(), Retention: c.retention}, Stop: 10_000,
 	}
 	e, err := New(s, Options{Events: event.NewLog(c.t.Output(), "entry", "info", event.FormatText)})
 	require.NoError(c.t, err)
@@ -105,7 +108,7 @@
 	var body config.Publish
 	body.Reason = "test"
 	for _, content := range contents {
-		body.Files = append(body.Files, config.FileChange{Name: content.Name, Based: config.NoVersion, Content: json.RawMessage(content.Data)})
+		body.Files = append(body.Files, config.FileChange{Name: content.Name, Based: config.NoVersion, Content: content.Data})
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
@@ -113,6 +116,53 @@
 	require.NoError(c.t, err)
 }
 
+// change publishes a new timeout of a pool and returns its offset.
+func (c *cluster) change(n *node, timeout int) record.Offset {
+	c.t.Helper()
+	file, ok := n.config.File("base")
+	require.True(c.t, ok)
+	content := regexp.MustCompile(`"timeout": ?\d+`).ReplaceAll(file.Content, fmt.Appendf(nil, `"timeout": %d`, timeout))
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	offset, err := n.channels[record.StreamConfig].proposer.Propose(ctx, "publish", "test", config.Publish{
+		Files: []config.FileChange{{Name: "base", Based: file.Version, Content: content}}, Reason: "change",
+	})
+	require.NoError(c.t, err)
+	return offset
+}
+
+// converged waits until all running entries have folded the same offsets, and compares their states.
+func (c *cluster) converged() {
+	c.t.Helper()
+	for name, first := range c.entries[0].channels {
+		require.Eventually(c.t, func() bool {
+			offset, digest, _, err := first.follower.Snapshot()
+			require.NoError(c.t, err)
+			for _, n := range c.entries[1:] {
+				o, d, _, err := n.channels[name].follower.Snapshot()
+				require.NoError(c.t, err)
+				if o != offset {
+					return false
+				}
+				require.Equal(c.t, digest, d, "stream %s differs at offset %d", name, o)
+			}
+			return true
+		}, patience, 5*time.Millisecond)
+	}
+}
+
+// replace stops an entry gracefully and starts a new one in its place.
+func (c *cluster) replace(i int) {
+	c.t.Helper()
+	old := c.entries[i]
+	old.stop()
+	require.NoError(c.t, <-old.done)
+	listing := platform.Listing{ID: old.self.Entry, Kind: instance.KindEntry}
+	c.platform.Directory.Set(listing, false)
+	c.entries = slices.Delete(c.entries, i, i+1)
+	c.start(old.self.Entry+"x", old.settings.Centre)
+}
+
 // serving waits until all entries are ready and know a target of each pool of their site.
 func (c *cluster) serving() {
 	c.t.Helper()
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -12,6 +11,8 @@
 	"sync/atomic"
 	"time"
 
+	"hibiscuslane.example/hibiscuslane/admin"
+	"hibiscuslane.example/hibiscuslane/audit"
 	"hibiscuslane.example/hibiscuslane/claim"
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/event"
@@ -22,7 +23,6 @@
 	"hibiscuslane.example/hibiscuslane/metric"
 	"hibiscuslane.example/hibiscuslane/peer"
 	"hibiscuslane.example/hibiscuslane/platform"
-	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/request"
 	"hibiscuslane.example/hibiscuslane/route"
@@ -301,8 +301,12 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /health", e.serveHealth)
 	mux.HandleFunc("GET /ready", e.serveReady)
-	mux.HandleFunc("GET /status", e.serveStatus)
 	mux.Handle("GET /metrics", e.metrics.Handler())
+	handler := &admin.Handler{
+		Config: e.config, Publisher: e.channels[record.StreamConfig].proposer, Status: e, Timer: e.timer,
+		Trail: []audit.Source{e.config, fleetTrail{state: e.fleet}},
+	}
+	handler.Register(mux)
 	return mux
 }
 
@@ -375,7 +379,3 @@
 		Admin:   instance.Address(e.listeners.admin.Addr().String()),
 	}
 }
-
-func sortedPools(pools map[pool.Name]pool.Spec) []pool.Name {
-	return slices.Sorted(maps.Keys(pools))
-}
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -6,12 +6,13 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/failure"
+	standin "hibiscuslane.example/hibiscuslane/standin/platform"
 )
 
 // TestRequestPath guards the path of a request through any entry, and a repeat through another entry
 // that must not execute it again.
 func TestRequestPath(t *testing.T) {
-	c := startCluster(t, 3)
+	c := startCluster(t, 3, standin.Options{})
 	c.publish()
 	c.serving()
 	for _, n := range c.entries {
--- a/entry/status.go
+++ b/entry/status.go
@@ -1,59 +1,20 @@
 package entry
 
 import (
-	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 
+	"hibiscuslane.example/hibiscuslane/admin"
+	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/site"
-	"hibiscuslane.example/hibiscuslane/slot"
 )
 
-// Status describes an entry and what it knows, for GET /status.
-type Status struct {
-	Entry       instance.ID                   `json:"entry"`
-	Incarnation instance.Incarnation          `json:"incarnation"`
-	Centre      site.DataCentre               `json:"centre"`
-	Ready       bool                          `json:"ready"`
-	Stopping    bool                          `json:"stopping"`
-	Config      record.Offset                 `json:"config"`
-	Offsets     map[record.Stream]StreamState `json:"offsets"`
-	Peers       []PeerState                   `json:"peers"`
-	Pools       []PoolState                   `json:"pools"`
-	Slots       []slot.Usage                  `json:"slots"`
-	Instances   []fleet.Instance              `json:"instances"`
-	// Flight is the number of requests in flight.
-	Flight int `json:"flight"`
-}
-
-// StreamState tells how far a stream is read.
-type StreamState struct {
-	Next record.Offset `json:"next"`
-	// Silence is the time in milliseconds since the last contact with the log; -1 if there was none.
-	Silence int64 `json:"silence"`
-	Loaded  bool  `json:"loaded"`
-}
-
-// PeerState is the last report of a peer.
-type PeerState struct {
-	Entry   instance.ID   `json:"entry"`
-	Centre  string        `json:"centre"`
-	Ready   bool          `json:"ready"`
-	Config  record.Offset `json:"config"`
-	Silence int64         `json:"silence"`
-}
-
-// PoolState counts the instances of a pool.
-type PoolState struct {
-	Pool    pool.Name    `json:"pool"`
-	Targets fleet.Counts `json:"targets"`
-	Workers fleet.Counts `json:"workers"`
-}
-
 // UnreadyError reports an entry that takes no traffic.
 type UnreadyError struct {
 	Reason string
@@ -67,33 +28,76 @@
 // Outcome implements failure.Coded.
 func (e *UnreadyError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
 
-// Status returns the present status.
-func (e *Entry) Status() Status {
-	s := Status{
-		Entry: e.self.Entry, Incarnation: e.self.Incarnation, Centre: e.settings.Centre,
-		Ready: e.unready() == nil, Stopping: e.stopping.Load(), Config: e.config.Version(),
-		Offsets: map[record.Stream]StreamState{}, Slots: e.owners.Usage(),
-		Instances: e.fleet.All(), Flight: e.handler.InFlight(),
+// Status implements admin.Reporter.
+func (e *Entry) Status() admin.Status {
+	s := admin.Status{
+		ID: e.self.Entry, Incarnation: e.self.Incarnation, Centre: e.settings.Centre, Version: e.config.Version(),
+		Offsets: map[record.Stream]record.Offset{}, Instances: e.fleet.All(),
+	}
+	if err := e.unready(); err != nil {
+		s.Reason = err.Error()
+	} else {
+		s.Ready = true
 	}
 	for name, c := range e.channels {
-		s.Offsets[name] = StreamState{Next: c.follower.Offset(), Silence: e.silence(c), Loaded: c.loaded()}
+		s.Offsets[name] = c.follower.Offset()
 	}
-	for _, p := range e.group.Peers() {
-		s.Peers = append(s.Peers, PeerState{
-			Entry: instance.ID(p.GetEntry()), Centre: p.GetCentre(), Ready: p.GetReady(),
-			Config: record.Offset(p.GetConfig()), Silence: p.GetSilence(),
+	for _, c := range e.group.Contacts() {
+		s.Peers = append(s.Peers, admin.PeerStatus{
+			ID: instance.ID(c.Status.GetEntry()), Incarnation: instance.Incarnation(c.Status.GetIncarnation()),
+			Centre: site.DataCentre(c.Status.GetCentre()), Version: record.Offset(c.Status.GetConfig()),
+			Silence: c.Silence.Milliseconds(),
 		})
 	}
-	if settings := e.siteSettings(); settings != nil {
-		for _, name := range sortedPools(settings.Pools) {
-			s.Pools = append(s.Pools, PoolState{
-				Pool: name, Targets: e.fleet.Counts(name, instance.KindTarget), Workers: e.fleet.Counts(name, instance.KindWorker),
-			})
+	s.Pools = poolStatus(e.config.All(), s.Instances)
+	return s
+}
+
+// poolStatus counts the instances of each pool at each site.
+func poolStatus(settings map[site.Name]*config.Settings, instances []fleet.Instance) []admin.PoolStatus {
+	type key struct {
+		site site.Name
+		pool pool.Name
+	}
+	rows := map[key]*admin.PoolStatus{}
+	var list []*admin.PoolStatus
+	for _, name := range slices.Sorted(maps.Keys(settings)) {
+		pools := settings[name].Pools
+		for _, p := range slices.Sorted(maps.Keys(pools)) {
+			row := &admin.PoolStatus{Site: name, Pool: p, Spec: pools[p]}
+			rows[key{name, p}] = row
+			list = append(list, row)
 		}
 	}
-	return s
+	for _, i := range instances {
+		if row := rows[key{site.Name(i.Centre), i.Pool}]; row != nil {
+			count(row, i)
+		}
+	}
+	result := make([]admin.PoolStatus, len(list))
+	for i, row := range list {
+		result[i] = *row
+	}
+	return result
 }
 
+func count(row *admin.PoolStatus, i fleet.Instance) {
+	phases := &row.Targets
+	if i.Kind == instance.KindWorker {
+		phases = &row.Workers
+	}
+	switch i.Phase {
+	case instance.PhaseActive:
+		phases.Active++
+	case instance.PhaseDraining:
+		phases.Draining++
+	case instance.PhaseLost:
+		phases.Lost++
+	}
+}
+
+// silence returns the time in milliseconds since the last contact of a channel with the log; -1 if
+// there was none.
 func (e *Entry) silence(c *channel) int64 {
 	contact := c.follower.Contact()
 	if contact.IsZero() {
@@ -102,12 +106,6 @@
 	return e.timer.Since(contact).Milliseconds()
 }
 
-func (e *Entry) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	// A write error means that the caller is gone.
-	_ = json.NewEncoder(w).Encode(e.Status())
-}
-
 func (e *Entry) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	w.WriteHeader(http.StatusOK)
 }
--- /dev/null
+++ b/entry/trail.go
@@ -0,0 +1,29 @@
+package entry
+
+import (
+	"hibiscuslane.example/hibiscuslane/audit"
+	"hibiscuslane.example/hibiscuslane/fleet"
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/stream"
+)
+
+// fleetTrail shows the applied fleet records in the audit trail. It implements audit.Source.
+type fleetTrail struct{ state *fleet.State }
+
+// Trail implements audit.Source.
+func (f fleetTrail) Trail() []audit.Entry {
+	changes := f.state.Audit(0)
+	entries := make([]audit.Entry, 0, len(changes))
+	for _, c := range changes {
+		decision := c.Reason
+		if c.Next != "" && c.Next != c.To {
+			decision = "to pool " + string(c.Next) + ": " + decision
+		}
+		entries = append(entries, audit.Entry{
+			Offset: c.Offset, Stream: record.StreamFleet, Kind: c.Kind, Time: c.Time.Std(), Author: c.Author,
+			Objects:  []audit.Object{{Name: string(c.ID) + " in " + string(c.To), From: int64(c.Version) - 1}},
+			Decision: decision, Verdict: stream.ResultApplied,
+		})
+	}
+	return entries
+}
--- a/member/member.go
+++ b/member/member.go
@@ -196,6 +196,27 @@
 	return live
 }
 
+// Contact is the last report of a peer and its age.
+type Contact struct {
+	Status  *peer.Status
+	Silence time.Duration
+}
+
+// Contacts returns the last report of each listed peer that was ever heard, in ascending order of
+// their ids.
+func (g *Group) Contacts() []Contact {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var contacts []Contact
+	for _, c := range g.known {
+		if !c.heard.IsZero() {
+			contacts = append(contacts, Contact{Status: c.status, Silence: g.Timer.Since(c.heard)})
+		}
+	}
+	slices.SortFunc(contacts, func(a, b Contact) int { return cmp.Compare(a.Status.GetEntry(), b.Status.GetEntry()) })
+	return contacts
+}
+
 // Peers returns the last report of each live peer in ascending order of their ids.
 func (g *Group) Peers() []*peer.Status {
 	g.mu.Lock()
--- a/stream/appender.go
+++ b/stream/appender.go
@@ -191,20 +191,20 @@
 	Follower *Follower
 }
 
-// Propose appends a record, waits until it has been folded, and returns its offset. A record that was
-// not applied is a VerdictError.
+// Propose appends a record, waits until it has been folded, and returns the offset at which it was. A
+// record that was not applied is a VerdictError.
 func (p *Proposer) Propose(ctx context.Context, kind record.Kind, author record.Author, body any) (record.Offset, error) {
-	id, offset, err := p.Appender.Append(ctx, kind, author, body)
+	id, acknowledged, err := p.Appender.Append(ctx, kind, author, body)
 	if err != nil {
 		return 0, err
 	}
 	stream := p.Appender.Stream
-	if err := p.Follower.Wait(ctx, offset); err != nil {
-		return offset, &PendingError{Stream: stream, ID: id, Cause: err}
+	if err := p.Follower.Wait(ctx, acknowledged); err != nil {
+		return acknowledged, &PendingError{Stream: stream, ID: id, Cause: err}
 	}
-	verdict, ok := p.Follower.Verdict(id)
+	offset, verdict, ok := p.Follower.Folded(id)
 	if !ok {
-		return offset, &PendingError{Stream: stream, ID: id, Cause: &ForgottenError{ID: id}}
+		return acknowledged, &PendingError{Stream: stream, ID: id, Cause: &ForgottenError{ID: id}}
 	}
 	if verdict.Result != ResultApplied {
 		return offset, &VerdictError{Stream: stream, Offset: offset, Verdict: verdict}
--- a/stream/follower.go
+++ b/stream/follower.go
@@ -49,12 +49,18 @@
 	// writers holds the highest sequence folded of each writer. A lower or equal sequence is a
 	// repeated append.
 	writers  map[record.Writer]writerMark
-	verdicts map[record.ID]Verdict
+	verdicts map[record.ID]folded
 	// order lists the keys of verdicts, oldest first.
 	order   []record.ID
 	changed chan struct{}
 }
 
+// folded is the verdict on a record and the offset of its first copy, the one that counts.
+type folded struct {
+	verdict Verdict
+	offset  record.Offset
+}
+
 type writerMark struct {
 	Sequence record.Sequence `json:"sequence"`
 	Offset   record.Offset   `json:"offset"`
@@ -116,8 +122,18 @@
 func (f *Follower) Verdict(id record.ID) (Verdict, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	verdict, ok := f.verdicts[id]
-	return verdict, ok
+	entry, ok := f.verdicts[id]
+	return entry.verdict, ok
+}
+
+// Folded returns the verdict on a recent record and the offset at which it was folded. When an append
+// was repeated after a lost answer, that is the offset of the first copy, while the acknowledgment
+// names a later one.
+func (f *Follower) Folded(id record.ID) (record.Offset, Verdict, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	entry, ok := f.verdicts[id]
+	return entry.offset, entry.verdict, ok
 }
 
 // Run reads the stream until ctx ends.
@@ -152,7 +168,7 @@
 func (f *Follower) step(ctx context.Context) error {
 	readCtx, cancel := f.Timer.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	batch, err := f.Log.Read(readCtx, f.Stream, f.Offset(), readLimit, readWait)
+	batch, err := f.Log.Read(readCtx, f.Stream, f.Offset(), readLimit, f.wait())
 	if platform.IsExpired(err) && f.Recover != nil {
 		f.Events.Warn(eventExpired, "stream", f.Stream, "offset", f.Offset())
 		return f.Recover(ctx)
@@ -164,6 +180,15 @@
 	return nil
 }
 
+// wait returns how long a read may wait for records. Until the head is reached a read does not wait, so
+// that an entry whose snapshot is at the head learns so at once.
+func (f *Follower) wait() time.Duration {
+	if f.Current() {
+		return readWait
+	}
+	return 0
+}
+
 func (f *Follower) apply(batch platform.Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -204,7 +229,7 @@
 	case ResultApplied, ResultDuplicate:
 	}
 	if verdict.Result != ResultDuplicate {
-		f.keepLocked(envelope.ID, verdict)
+		f.keepLocked(envelope.ID, folded{verdict: verdict, offset: stored.Offset})
 	}
 }
 
@@ -230,11 +255,11 @@
 	}
 }
 
-func (f *Follower) keepLocked(id record.ID, verdict Verdict) {
+func (f *Follower) keepLocked(id record.ID, entry folded) {
 	if f.verdicts == nil {
-		f.verdicts = map[record.ID]Verdict{}
+		f.verdicts = map[record.ID]folded{}
 	}
-	f.verdicts[id] = verdict
+	f.verdicts[id] = entry
 	f.order = append(f.order, id)
 	if len(f.order) > verdictsKept {
 		delete(f.verdicts, f.order[0])
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -120,8 +120,9 @@
 func TestLostAnswer(t *testing.T) {
 	log, state := &memoryLog{lose: 1}, &counter{}
 	p, ctx := start(t, log, state)
-	_, err := p.Propose(ctx, "count", "test", struct{}{})
+	offset, err := p.Propose(ctx, "count", "test", struct{}{})
 	require.NoError(t, err)
+	require.Zero(t, offset, "the first copy counts, not the acknowledged one")
 	require.Equal(t, uint64(1), state.Digest())
 	require.Len(t, log.records, 2, "the append is repeated")
 	_, err = p.Propose(ctx, "count", "test", struct{}{})
