standin serve and fault switches over HTTP

Scenarios run the product as separate processes, so they need a fleet that one command starts from a file, and switches that they can reach over HTTP. POST /fault changes the switches that its JSON names.

A call that silences the platform's established connections would lose its own answer; the first version of the test hung on this. The connection that carries the call is now exempt and is closed after the answer.

--- a/standin/cmd/root.go
+++ b/standin/cmd/root.go
@@ -2,6 +2,7 @@
 package cmd
 
 import (
+	"context"
 	"fmt"
 	"os"
 
@@ -11,7 +12,7 @@
 // Execute runs the command line and returns the exit status.
 func Execute() int {
 	root := newRoot()
-	if err := root.Execute(); err != nil {
+	if err := root.ExecuteContext(context.Background()); err != nil {
 		fmt.Fprintln(os.Stderr, "standin:", err)
 		return 1
 	}
@@ -19,10 +20,12 @@
 }
 
 func newRoot() *cobra.Command {
-	return &cobra.Command{
+	root := &cobra.Command{
 		Use:           "standin",
 		Short:         "Emulators of the platform, its targets and its workers",
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
+	root.AddCommand(newServe())
+	return root
 }
--- /dev/null
+++ b/standin/emulator/emulator.go
@@ -0,0 +1,152 @@
+package emulator
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/standin/appendlog"
+	emulated "hibiscuslane.example/hibiscuslane/standin/platform"
+	"hibiscuslane.example/hibiscuslane/standin/target"
+	"hibiscuslane.example/hibiscuslane/standin/worker"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+// Emulator is a running fleet.
+type Emulator struct {
+	Platform *emulated.Server
+	Targets  []*target.Target
+	Workers  []*worker.Worker
+	entries  []*listed
+}
+
+// Start starts the fleet. A nil service means the system clock.
+func Start(fleet Fleet, service *timer.Service) (*Emulator, error) {
+	server, err := emulated.Start(emulated.Options{
+		Address:   fleet.Platform.Address,
+		Retention: appendlog.Retention{Records: fleet.Platform.Records, Age: ms(fleet.Platform.Age)},
+		Lag:       ms(fleet.Platform.Lag),
+		Timer:     service,
+	})
+	if err != nil {
+		return nil, err
+	}
+	e := &Emulator{Platform: server}
+	if err := e.startMachines(fleet, service); err != nil {
+		return nil, errors.Join(err, e.Close())
+	}
+	for _, entry := range fleet.Entries {
+		e.entries = append(e.entries, list(server.Directory, entry))
+	}
+	server.Handle("POST /fault", e.serveFault)
+	server.Handle("GET /fault", e.serveFaults)
+	return e, nil
+}
+
+func ms(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func (e *Emulator) startMachines(fleet Fleet, service *timer.Service) error {
+	port := fleet.Port
+	checkpoints := &worker.Checkpoints{}
+	for _, s := range fleet.Sites {
+		for _, listing := range fleet.listings(s.Centre, instance.KindTarget, s.Targets) {
+			listing.Address, port = address(port)
+			if err := e.startTarget(fleet, listing, service); err != nil {
+				return err
+			}
+		}
+		for _, listing := range fleet.listings(s.Centre, instance.KindWorker, s.Workers) {
+			listing.Address, port = address(port)
+			if err := e.startWorker(fleet, listing, checkpoints, service); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// address returns the loopback address for a port, and the port of the next machine.
+func address(port int) (instance.Address, int) {
+	if port == 0 {
+		return "", 0
+	}
+	return instance.Address(fmt.Sprintf("127.0.0.1:%d", port)), port + 1
+}
+
+func (e *Emulator) startTarget(fleet Fleet, listing platform.Listing, service *timer.Service) error {
+	t, err := target.Start(target.Options{
+		Listing:     listing,
+		Slots:       fleet.Target.Slots,
+		Connections: fleet.Target.Connections,
+		Restart:     ms(fleet.Platform.Restart),
+		Timer:       service,
+	})
+	if err != nil {
+		return err
+	}
+	e.Targets = append(e.Targets, t)
+	e.Platform.Directory.Add(t)
+	return nil
+}
+
+func (e *Emulator) startWorker(fleet Fleet, listing platform.Listing, checkpoints *worker.Checkpoints, service *timer.Service) error {
+	listing.Cores = fleet.Worker.Cores
+	listing.Memory = fleet.Worker.Memory
+	listing.Accelerators = fleet.Worker.Accelerators
+	w, err := worker.Start(worker.Options{
+		Listing:     listing,
+		Restart:     ms(fleet.Platform.Restart),
+		Lag:         ms(fleet.Worker.Lag),
+		Checkpoints: checkpoints,
+		Timer:       service,
+	})
+	if err != nil {
+		return err
+	}
+	e.Workers = append(e.Workers, w)
+	e.Platform.Directory.Add(w)
+	return nil
+}
+
+// Listings returns the present state of all machines and entries, without the lag of the list.
+func (e *Emulator) Listings() []platform.Listing {
+	all := e.instances()
+	listings := make([]platform.Listing, len(all))
+	for i, one := range all {
+		listings[i] = one.Listing()
+	}
+	return listings
+}
+
+// Target returns the target with the given id, or nil.
+func (e *Emulator) Target(id instance.ID) *target.Target {
+	i := slices.IndexFunc(e.Targets, func(t *target.Target) bool { return t.ID() == id })
+	if i < 0 {
+		return nil
+	}
+	return e.Targets[i]
+}
+
+// Worker returns the worker with the given id, or nil.
+func (e *Emulator) Worker(id instance.ID) *worker.Worker {
+	i := slices.IndexFunc(e.Workers, func(w *worker.Worker) bool { return w.ID() == id })
+	if i < 0 {
+		return nil
+	}
+	return e.Workers[i]
+}
+
+// Close ends all machines, then the platform.
+func (e *Emulator) Close() error {
+	var errs []error
+	for _, t := range e.Targets {
+		errs = append(errs, t.Close())
+	}
+	for _, w := range e.Workers {
+		errs = append(errs, w.Close())
+	}
+	return errors.Join(append(errs, e.Platform.Close())...)
+}
--- /dev/null
+++ b/standin/emulator/emulator_test.go
@@ -0,0 +1,119 @@
+package emulator_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/standin/emulator"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+var ctx = context.Background()
+
+func start(t *testing.T) (*emulator.Emulator, *platform.Client, *timer.Manual) {
+	t.Helper()
+	fleet, err := emulator.Load("../../examples/small/fleet.json")
+	require.NoError(t, err)
+	fleet.Platform.Address, fleet.Port = "", 0
+	manual := timer.NewManual(time.Unix(1_000_000, 0))
+	e, err := emulator.Start(fleet, &manual.Service)
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, e.Close()) })
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	return e, &platform.Client{Base: e.Platform.URL(), HTTP: &http.Client{Transport: transport}}, manual
+}
+
+func fault(t *testing.T, c *platform.Client, body string) int {
+	t.Helper()
+	// A client of its own leaves the connection of c in place.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Post(c.Base+"/fault", "application/json", strings.NewReader(body))
+	require.NoError(t, err)
+	require.NoError(t, response.Body.Close())
+	return response.StatusCode
+}
+
+func find(t *testing.T, c *platform.Client, id instance.ID) (platform.Listing, bool) {
+	t.Helper()
+	list, err := c.List(ctx)
+	require.NoError(t, err)
+	for _, l := range list {
+		if l.ID == id {
+			return l, true
+		}
+	}
+	return platform.Listing{}, false
+}
+
+// TestListLag guards against a list that shows a change early or never.
+func TestListLag(t *testing.T) {
+	_, c, manual := start(t)
+	list, err := c.List(ctx)
+	require.NoError(t, err)
+	require.Len(t, list, 39)
+	const id = "husavik-worker-5"
+	before, _ := find(t, c, id)
+	require.Equal(t, platform.Listing{
+		ID: id, Kind: instance.KindWorker, Address: before.Address, Incarnation: 1, Centre: "husavik",
+		Rack: "husavik-worker-rack-2", State: platform.StateLive, Cores: 16, Memory: 65536,
+	}, before)
+	require.NoError(t, c.Drain(ctx, id, 1))
+	require.NoError(t, c.Reboot(ctx, id, 1))
+	lagging, _ := find(t, c, id)
+	require.Equal(t, before, lagging)
+	manual.Advance(500 * time.Millisecond)
+	drained, _ := find(t, c, id)
+	require.Equal(t, platform.StateLeaving, drained.State)
+	require.NoError(t, manual.Await(ctx, 1))
+	manual.Advance(1500 * time.Millisecond)
+	require.Eventually(t, func() bool {
+		return platform.IsRefused(c.Reboot(ctx, id, 1), platform.RefusedIncarnation)
+	}, 10*time.Second, time.Millisecond)
+	manual.Advance(500 * time.Millisecond)
+	returned, _ := find(t, c, id)
+	require.Equal(t, platform.StateLive, returned.State)
+	require.Equal(t, instance.Incarnation(2), returned.Incarnation)
+	require.True(t, platform.IsRefused(c.Drain(ctx, "nobody", 1), platform.RefusedMissing))
+}
+
+// TestFault guards against switches that reach the wrong part, and against misspelt switches that are
+// silently without effect.
+func TestFault(t *testing.T) {
+	e, c, manual := start(t)
+	require.Equal(t, http.StatusOK, fault(t, c, `{"log":{"down":true},"list":{"lag":0}}`))
+	_, err := c.Append(ctx, "a", nil)
+	require.Error(t, err)
+	require.True(t, e.Platform.Log.Faults().Down)
+	require.Equal(t, http.StatusOK, fault(t, c, `{"log":{"slow":5}}`))
+	require.True(t, e.Platform.Log.Faults().Down, "an absent switch stays as it is")
+	require.Equal(t, http.StatusOK, fault(t, c,
+		`{"instances":[{"match":{"centre":"dalvik","kind":"target"},"set":{"off":true}},{"match":{"id":"entry-2"},"set":{"leaving":true}}]}`))
+	list, err := c.List(ctx)
+	require.NoError(t, err)
+	require.Len(t, list, 33)
+	entry, _ := find(t, c, "entry-2")
+	require.Equal(t, platform.StateLeaving, entry.State)
+	require.Equal(t, http.StatusOK, fault(t, c, `{"list":{"lag":1000},"instances":[{"match":{"id":"dalvik-target-1"},"set":{"off":false}}]}`))
+	_, listed := find(t, c, "dalvik-target-1")
+	require.False(t, listed, "a returned machine appears after the lag")
+	manual.Advance(time.Second)
+	back, _ := find(t, c, "dalvik-target-1")
+	require.Equal(t, instance.Incarnation(2), back.Incarnation)
+	require.Equal(t, http.StatusBadRequest, fault(t, c, `{"log":{"downn":true}}`))
+	require.Equal(t, http.StatusNotFound, fault(t, c, `{"instances":[{"match":{"id":"nobody"},"set":{}}]}`))
+	require.Equal(t, http.StatusOK, fault(t, c, `{"list":{"down":true},"platform":{"silent":"established"}}`))
+	c.HTTP.Timeout = 50 * time.Millisecond
+	_, err = c.List(ctx)
+	require.Error(t, err, "the established connection is dead")
+	c.HTTP.Timeout = 0
+	_, err = c.List(ctx)
+	require.True(t, platform.IsRefused(err, platform.RefusedDown))
+}
--- a/standin/machine/machine.go
+++ b/standin/machine/machine.go
@@ -255,7 +255,7 @@
 	if err := m.listener.Refuse(f.Refuse); err != nil {
 		return err
 	}
-	m.listener.Silence(f.Silent)
+	m.listener.Silence(context.Background(), f.Silent)
 	if f.Silent == socket.SilenceEstablished {
 		f.Silent = socket.SilenceNone
 	}
--- a/standin/platform/server.go
+++ b/standin/platform/server.go
@@ -2,7 +2,7 @@
 package platform
 
 import (
-	"encoding/json"
+	"context"
 	"net/http"
 	"time"
 
@@ -73,8 +73,8 @@
 	return s.listener.Close()
 }
 
-// Fault silences connections as the JSON object says.
-func (s *Server) Fault(data json.RawMessage) error {
+// Fault silences connections as the JSON object says, except the one that carries the request of ctx.
+func (s *Server) Fault(ctx context.Context, data []byte) error {
 	var f Faults
 	if err := reply.Strict("fault of the platform", data, &f); err != nil {
 		return err
@@ -82,6 +82,6 @@
 	if f.Silent == socket.SilenceAll {
 		return reply.Invalid("fault of the platform", "silent must be established")
 	}
-	s.listener.Silence(f.Silent)
+	s.listener.Silence(ctx, f.Silent)
 	return nil
 }
--- a/standin/socket/listener.go
+++ b/standin/socket/listener.go
@@ -70,20 +70,25 @@
 		Handler:   handler,
 		ConnState: l.track,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			conn, ok := c.(*Conn)
-			return context.WithValue(ctx, excessKey{}, ok && conn.excess)
+			return context.WithValue(ctx, connKey{}, c)
 		},
 	}
 	// Serve returns only when the listener is closed.
 	go func() { _ = server.Serve(l) }()
 }
 
-type excessKey struct{}
+type connKey struct{}
+
+// carrier returns the connection that carries the request of ctx, or nil.
+func carrier(ctx context.Context) *Conn {
+	conn, _ := ctx.Value(connKey{}).(*Conn)
+	return conn
+}
 
 // Excess reports whether a request came over a connection above the limit of its listener.
 func Excess(ctx context.Context) bool {
-	excess, _ := ctx.Value(excessKey{}).(bool)
-	return excess
+	conn := carrier(ctx)
+	return conn != nil && conn.excess
 }
 
 func (l *Listener) accept(inner net.Listener) {
@@ -225,8 +230,10 @@
 	return nil
 }
 
-// Silence makes connections drop all bytes in both directions without an error.
-func (l *Listener) Silence(kind Silence) {
+// Silence makes connections drop all bytes in both directions without an error. The connection that
+// carries the request of ctx, if any, is left alone, so that the request can be answered.
+func (l *Listener) Silence(ctx context.Context, kind Silence) {
+	keep := carrier(ctx)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.silent = kind == SilenceAll
@@ -234,7 +241,9 @@
 		return
 	}
 	for conn := range l.conns {
-		conn.silent.Store(true)
+		if conn != keep {
+			conn.silent.Store(true)
+		}
 	}
 }
 
--- /dev/null
+++ b/standin/worker/worker_test.go
@@ -0,0 +1,196 @@
+package worker_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/standin/worker"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+// patience bounds waits for events that have to come; no test waits this long to pass.
+const patience = 10 * time.Second
+
+var ctx = context.Background()
+
+func start(t *testing.T, options worker.Options) (*worker.Worker, *platform.WorkerClient, *timer.Manual) {
+	t.Helper()
+	manual := timer.NewManual(time.Unix(1_000_000, 0))
+	options.ID, options.Timer = "worker-1", &manual.Service
+	w, err := worker.Start(options)
+	require.NoError(t, err)
+	t.Cleanup(func() { require.NoError(t, w.Close()) })
+	transport := &http.Transport{}
+	t.Cleanup(transport.CloseIdleConnections)
+	client := &http.Client{Transport: transport, Timeout: patience}
+	return w, &platform.WorkerClient{Address: w.Listing().Address, HTTP: client}, manual
+}
+
+func task(id platform.TaskID, epoch platform.Epoch, command string) platform.Task {
+	return platform.Task{Task: id, Epoch: epoch, Incarnation: 1, Lease: 1000, Cores: 4, Memory: 1000, Command: command}
+}
+
+func status(t *testing.T, c *platform.WorkerClient, id platform.TaskID) platform.TaskStatus {
+	t.Helper()
+	list, err := c.Tasks(ctx)
+	require.NoError(t, err)
+	for _, s := range list {
+		if s.Task == id {
+			return s
+		}
+	}
+	require.FailNow(t, "task is not listed", id)
+	return platform.TaskStatus{}
+}
+
+func await(t *testing.T, c *platform.WorkerClient, id platform.TaskID, state platform.TaskState) {
+	t.Helper()
+	require.Eventually(t, func() bool { return status(t, c, id).State == state }, patience, time.Millisecond)
+}
+
+// TestCommands guards against a command with another effect than the protocol page gives.
+func TestCommands(t *testing.T) {
+	_, c, manual := start(t, worker.Options{Lag: 2 * time.Second})
+	cases := []struct {
+		command        string
+		state          platform.TaskState
+		output, reason string
+	}{
+		{"echo", platform.TaskDone, "input", ""},
+		{"fail", platform.TaskFailed, "", "failed"},
+		{"fail:disk full", platform.TaskFailed, "", "disk full"},
+		{"sleep:0", platform.TaskDone, "", ""},
+		{"sleep:-1", platform.TaskFailed, "", "command not found: sleep:-1"},
+		{"usage:1:2", platform.TaskFailed, "", "command not found: usage:1:2"},
+		{"usage:1:70000:500", platform.TaskFailed, "", "out of memory"},
+	}
+	for _, c2 := range cases {
+		order := task(platform.TaskID(c2.command), 1, c2.command)
+		order.Input = "input"
+		require.NoError(t, c.Start(ctx, order))
+		got := status(t, c, order.Task)
+		require.Equal(t, []any{c2.state, c2.output, c2.reason}, []any{got.State, got.Output, got.Reason}, c2.command)
+	}
+	order := task("u", 1, "usage:2.5:800:3000")
+	order.Lease = 10_000
+	require.NoError(t, c.Start(ctx, order))
+	require.Zero(t, status(t, c, "u").Memory, "usage lags")
+	manual.Advance(2 * time.Second)
+	require.Equal(t, 800, status(t, c, "u").Memory)
+	require.InDelta(t, 2.5, status(t, c, "u").Cores, 0)
+	manual.Advance(time.Second)
+	await(t, c, "u", platform.TaskDone)
+}
+
+// TestLease guards against a task that outlives its lease, and against a renewal that has no effect.
+func TestLease(t *testing.T) {
+	w, c, manual := start(t, worker.Options{})
+	require.NoError(t, c.Start(ctx, task("a", 1, "sleep:60000")))
+	manual.Advance(900 * time.Millisecond)
+	require.NoError(t, c.Renew(ctx, "a", 1, time.Second))
+	manual.Advance(900 * time.Millisecond)
+	require.Equal(t, platform.TaskRunning, status(t, c, "a").State)
+	require.True(t, platform.IsRefused(c.Renew(ctx, "a", 2, time.Minute), platform.RefusedEpoch))
+	manual.Advance(100 * time.Millisecond)
+	await(t, c, "a", platform.TaskLapsed)
+	require.True(t, platform.IsRefused(c.Renew(ctx, "a", 1, time.Minute), platform.RefusedMissing))
+	manual.Advance(time.Minute)
+	require.Equal(t, platform.TaskLapsed, w.Journal()[0].State)
+	require.Equal(t, time.Unix(1_000_001, 900_000_000), w.Journal()[0].End.Local())
+}
+
+// TestEpoch guards against a second run of an epoch, and against two epochs that run at once.
+func TestEpoch(t *testing.T) {
+	w, c, _ := start(t, worker.Options{})
+	require.NoError(t, c.Start(ctx, task("a", 2, "sleep:500")))
+	for _, epoch := range []platform.Epoch{1, 2} {
+		require.True(t, platform.IsRefused(c.Start(ctx, task("a", epoch, "echo")), platform.RefusedEpoch))
+	}
+	require.NoError(t, c.Start(ctx, task("a", 3, "sleep:500")))
+	require.True(t, platform.IsRefused(c.Stop(ctx, "a", 2), platform.RefusedEpoch))
+	journal := w.Journal()
+	require.Len(t, journal, 2)
+	require.Equal(t, platform.TaskStopped, journal[0].State)
+	require.Nil(t, journal[1].End)
+	require.NoError(t, c.Stop(ctx, "a", 3))
+	require.Equal(t, platform.TaskStopped, status(t, c, "a").State)
+	require.True(t, platform.IsRefused(c.Start(ctx, task("a", 3, "echo")), platform.RefusedEpoch))
+	require.True(t, platform.IsRefused(c.Stop(ctx, "b", 1), platform.RefusedMissing))
+}
+
+// TestCapacity guards against tasks beyond the capacity, and against capacity that a throttled or
+// ended task keeps.
+func TestCapacity(t *testing.T) {
+	_, c, manual := start(t, worker.Options{Listing: platform.Listing{Cores: 8, Memory: 2500, Accelerators: 1}})
+	big := task("big", 1, "sleep:1000")
+	big.Cores, big.Lease = 8, 60_000
+	require.NoError(t, c.Start(ctx, big))
+	small := task("small", 1, "sleep:100")
+	require.True(t, platform.IsRefused(c.Start(ctx, small), platform.RefusedFull))
+	manual.Advance(500 * time.Millisecond)
+	require.NoError(t, c.Throttle(ctx, "big", 1))
+	require.NoError(t, c.Start(ctx, small), "a refused epoch may be tried again")
+	more := task("more", 1, "sleep:100")
+	more.Cores = 0
+	require.True(t, platform.IsRefused(c.Start(ctx, more), platform.RefusedFull), "memory")
+	manual.Advance(100 * time.Millisecond)
+	await(t, c, "small", platform.TaskDone)
+	more.Accelerators = 2
+	require.True(t, platform.IsRefused(c.Start(ctx, more), platform.RefusedFull), "accelerators")
+	manual.Advance(800 * time.Millisecond)
+	require.Equal(t, platform.TaskRunning, status(t, c, "big").State, "a throttled task is slower")
+	manual.Advance(100 * time.Millisecond)
+	await(t, c, "big", platform.TaskDone)
+}
+
+// TestCheckpoint guards against progress that is lost between two epochs of a task.
+func TestCheckpoint(t *testing.T) {
+	_, c, manual := start(t, worker.Options{})
+	order := task("a", 1, "sleep:1000")
+	order.Lease = 60_000
+	require.NoError(t, c.Start(ctx, order))
+	manual.Advance(700 * time.Millisecond)
+	require.NoError(t, c.Checkpoint(ctx, "a", 1))
+	require.Equal(t, platform.TaskStopped, status(t, c, "a").State)
+	manual.Advance(time.Minute)
+	order.Epoch = 2
+	require.NoError(t, c.Start(ctx, order))
+	manual.Advance(300 * time.Millisecond)
+	await(t, c, "a", platform.TaskDone)
+}
+
+// TestLives guards against work under an old incarnation, during a drain or after a crash, and against
+// a reboot under a running task.
+func TestLives(t *testing.T) {
+	w, c, manual := start(t, worker.Options{Restart: time.Second})
+	order := task("a", 1, "sleep:500")
+	require.NoError(t, c.Start(ctx, order))
+	require.NoError(t, w.Drain(1))
+	require.True(t, platform.IsRefused(c.Start(ctx, task("b", 1, "echo")), platform.RefusedDraining))
+	require.True(t, platform.IsRefused(w.Reboot(1), platform.RefusedBusy))
+	manual.Advance(500 * time.Millisecond)
+	await(t, c, "a", platform.TaskDone)
+	require.Eventually(t, func() bool { return w.Running() == 0 }, patience, time.Millisecond)
+	require.NoError(t, w.Reboot(1))
+	require.NoError(t, manual.Await(ctx, 1))
+	manual.Advance(time.Second)
+	require.Eventually(t, func() bool { return w.Listing().Incarnation == 2 }, patience, time.Millisecond)
+	require.True(t, platform.IsRefused(c.Start(ctx, task("b", 1, "echo")), platform.RefusedIncarnation))
+	order.Incarnation = 2
+	require.NoError(t, c.Start(ctx, order))
+	require.NoError(t, w.Fault([]byte(`{"off":true}`)))
+	require.Error(t, c.Stop(ctx, "a", 1))
+	require.NoError(t, w.Fault([]byte(`{"off":false,"fail":"bad node"}`)))
+	list, err := c.Tasks(ctx)
+	require.NoError(t, err)
+	require.Empty(t, list)
+	order.Incarnation = 3
+	require.NoError(t, c.Start(ctx, order))
+	require.Equal(t, "bad node", status(t, c, "a").Reason)
+	require.Equal(t, "worker crashed", w.Journal()[1].Reason)
+}
