request: bound on requests in flight, status of failed tries; one log for all tests

A body is read before its pool is known, so an entry now bounds the requests (4096) and bytes of bodies (32 MiB) in flight. A failed try takes a code whose HTTP status follows its outcome: a platform.CallError, which is an outage, had given 503 to an unknown outcome, and 503 tells the caller that a repeat is safe.

--- a/claim/claimer.go
+++ b/claim/claimer.go
@@ -169,14 +169,14 @@
 	return c.Peers.Answer(ctx, present.ID.Writer, present.Key, present.ID)
 }
 
-// Answer returns the answer to the claim that this entry keeps in memory, or nil. It serves the
-// Answer call of other entries.
-func (c *Claimer) Answer(key Key, claim record.ID) *Answer {
+// Answer returns the answer that this entry keeps in memory for a claim, or nil. It serves the Answer
+// call of other entries, which names the claim by the text of its record id.
+func (c *Claimer) Answer(key Key, claim string) *Answer {
 	present, ok := c.State.Lookup(key)
-	if ok && present.ID != claim {
+	if !ok || present.ID.String() != claim {
 		return nil
 	}
-	return c.answers.get(claim)
+	return c.answers.get(present.ID)
 }
 
 // Run appends outcomes until ctx ends.
--- a/request/atmostonce_test.go
+++ b/request/atmostonce_test.go
@@ -106,7 +106,7 @@
 type peer struct{ holder *claim.Claimer }
 
 func (p peer) Answer(_ context.Context, _ record.Writer, key claim.Key, id record.ID) (*claim.Answer, error) {
-	return p.holder.Answer(key, id), nil
+	return p.holder.Answer(key, id.String()), nil
 }
 
 // TestHolderDiesBeforeSend guards against a second claim on a key whose holder is gone.
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -1,34 +1,79 @@
 package request_test
 
 import (
+	"context"
+	"fmt"
+	"net/http"
 	"net/http/httptest"
-	"strings"
+	"sync"
 	"testing"
+	"time"
 
-	"hibiscuslane.example/hibiscuslane/request"
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/claim"
+	"hibiscuslane.example/hibiscuslane/timer"
 )
 
-// BenchmarkRequest measures the allocations of the chain for a request without a key.
+// BenchmarkRequest measures the allocations of the chain, and of its own request and recorder, for a
+// request without a key.
 func BenchmarkRequest(b *testing.B) {
-	t := &target{}
-	e := newEntry(&memoryLog{}, t, 1, nil)
+	e := newEntry(&memoryLog{}, &target{}, 1, nil)
 	defer e.kill()
 	b.ReportAllocs()
 	for b.Loop() {
-		r := httptest.NewRequest("POST", "/b", strings.NewReader("body"))
-		r.Header.Set(request.HeaderTeam, "red")
-		e.handler.ServeHTTP(httptest.NewRecorder(), r)
+		e.handler.ServeHTTP(httptest.NewRecorder(), call(http.MethodPost, "/b", "body"))
 	}
 }
 
-// BenchmarkHarness measures what BenchmarkRequest spends on its own request and recorder.
-func BenchmarkHarness(b *testing.B) {
-	b.ReportAllocs()
-	for b.Loop() {
-		r := httptest.NewRequest("POST", "/b", strings.NewReader("body"))
-		r.Header.Set(request.HeaderTeam, "red")
-		w := httptest.NewRecorder()
-		w.WriteHeader(200)
-		_, _ = w.Write([]byte("done body"))
+// BenchmarkClaims measures the latency that a claim adds and the appends a second at several rates of
+// keyed requests, which nine entries share. Each iteration is one request. The benchmark paces itself
+// by the clock, so run it with a fixed count, such as -benchtime 2000x.
+func BenchmarkClaims(b *testing.B) {
+	for _, delay := range []time.Duration{5 * time.Millisecond, 20 * time.Millisecond, 100 * time.Millisecond} {
+		for _, rate := range []int{20, 100, 500, 2000} {
+			b.Run(fmt.Sprintf("append=%s/rate=%d", delay, rate), func(b *testing.B) {
+				measureClaims(b, delay, rate)
+			})
+		}
+	}
+}
+
+func measureClaims(b *testing.B, delay time.Duration, rate int) {
+	ctx := context.Background()
+	log := &memoryLog{delay: delay}
+	var entries [9]*entry
+	for i := range entries {
+		entries[i] = newEntry(log, &target{}, i, nil)
+		defer entries[i].kill()
+	}
+	histogram := hdrhistogram.New(1, 60_000_000, 3)
+	var mu sync.Mutex
+	var service timer.Service
+	var requests sync.WaitGroup
+	begin := service.Now()
+	for i := range max(1, min(b.N, 10*rate)) {
+		_ = service.Sleep(ctx, begin.Add(time.Duration(i)*time.Second/time.Duration(rate)).Sub(service.Now()))
+		requests.Go(func() {
+			start := service.Now()
+			decision, err := entries[i%len(entries)].claimer.Begin(ctx, claim.Key{Team: "red", Key: fmt.Sprint(i)}, "d")
+			took := service.Since(start).Microseconds()
+			if proceed, ok := decision.(claim.Proceed); ok && err == nil {
+				proceed.Hold.Answered(&claim.Answer{Status: http.StatusOK})
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			_ = histogram.RecordValue(took)
+		})
+	}
+	requests.Wait()
+	for _, e := range entries {
+		require.NoError(b, e.claimer.Drain(ctx))
 	}
+	b.ReportMetric(float64(log.appends)/service.Since(begin).Seconds(), "appends/s")
+	b.ReportMetric(float64(len(log.records))/float64(log.appends), "records/append")
+	b.ReportMetric(float64(histogram.ValueAtQuantile(50))/1000, "p50-ms")
+	b.ReportMetric(float64(histogram.ValueAtQuantile(99))/1000, "p99-ms")
+	b.ReportMetric(0, "ns/op")
 }
--- a/request/chain_test.go
+++ b/request/chain_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"errors"
 	"io"
+	"log"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -88,6 +90,7 @@
 		"post refused":            {"POST", "/b", []error{refused, nil}, 2, failure.OutcomeAnswered},
 		"post broken":             {"POST", "/b", []error{broken, nil}, 1, failure.OutcomeUnknown},
 		"post uncoded":            {"POST", "/b", []error{io.EOF, nil}, 1, failure.OutcomeUnknown},
+		"post with foreign codes": {"POST", "/b", []error{&platform.CallError{Call: "send", Cause: io.EOF}, nil}, 1, failure.OutcomeUnknown},
 		"get broken":              {"GET", "/b", []error{broken, nil}, 2, failure.OutcomeAnswered},
 		"put of idempotent route": {"PUT", "/a/x", []error{broken, nil}, 2, failure.OutcomeAnswered},
 		"put of other route":      {"PUT", "/ab", []error{broken, nil}, 1, failure.OutcomeUnknown},
@@ -104,6 +107,7 @@
 			got := f.first.serve(call(test.method, test.path, ""))
 			assert.Equal(f, test.outcome, got.outcome, name)
 			assert.Equal(f, test.sends, sends, name)
+			assert.Equal(f, test.outcome == failure.OutcomeUnknown, got.status == http.StatusBadGateway, name)
 		}
 	})
 }
@@ -164,6 +168,48 @@
 	}
 }
 
+// TestAbortedConnection guards against a client that takes a part of a streamed response for the whole.
+func TestAbortedConnection(t *testing.T) {
+	stub := &target{send: func(context.Context, *request.Try) (*request.Reply, error) {
+		body := &breaking{strings.NewReader(strings.Repeat("x", 2*request.MaxBuffer)), io.ErrUnexpectedEOF}
+		return &request.Reply{Status: 200, Header: http.Header{}, Body: body, Length: -1}, nil
+	}}
+	e := newEntry(&memoryLog{}, stub, 1, nil)
+	defer e.kill()
+	server := httptest.NewUnstartedServer(e.handler)
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Start()
+	defer server.Close()
+	r := call("GET", server.URL+"/b", "")
+	r.RequestURI = ""
+	response, err := server.Client().Do(r)
+	require.NoError(t, err)
+	defer func() { _ = response.Body.Close() }()
+	_, err = io.ReadAll(response.Body)
+	require.Error(t, err)
+}
+
+// TestCrowded guards against bodies that fill the memory of the entry.
+func TestCrowded(t *testing.T) {
+	run(t, func(f *fixture) {
+		finish := make(chan struct{})
+		f.target.acquire = func(context.Context) error {
+			<-finish
+			return nil
+		}
+		var group sync.WaitGroup
+		for range 32 {
+			group.Go(func() { f.first.serve(chunked(call("GET", "/b", "x"))) })
+		}
+		synctest.Wait()
+		got := f.first.serve(call("GET", "/b", "x"))
+		assert.Equal(f, http.StatusTooManyRequests, got.status)
+		close(finish)
+		group.Wait()
+		assert.Equal(f, http.StatusCreated, f.first.serve(call("GET", "/b", "x")).status)
+	})
+}
+
 // TestPanic guards against a slot or a claim that a panic leaves behind.
 func TestPanic(t *testing.T) {
 	run(t, func(f *fixture) {
--- a/request/error.go
+++ b/request/error.go
@@ -61,6 +61,22 @@
 // Outcome implements failure.Coded.
 func (e *StoppingError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
 
+// CrowdedError reports a request that was refused because too many are in flight.
+type CrowdedError struct {
+	Requests int
+	Bytes    int64
+}
+
+func (e *CrowdedError) Error() string {
+	return fmt.Sprintf("%d requests with up to %d bytes of bodies are in flight, which is the limit", e.Requests, e.Bytes)
+}
+
+// Code implements failure.Coded.
+func (e *CrowdedError) Code() failure.Code { return failure.CodeOverloaded }
+
+// Outcome implements failure.Coded.
+func (e *CrowdedError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
 // RateError reports a team that is over its rate.
 type RateError struct {
 	Team  team.Name
@@ -113,14 +129,20 @@
 // Unwrap returns the cause.
 func (e *TryError) Unwrap() error { return e.Cause }
 
-// Code implements failure.Coded. An error without a code comes from the connection.
+// Code implements failure.Coded. It is one of the codes whose HTTP status follows the outcome, so that
+// a cause from another package never makes an unknown outcome look safe to repeat.
 func (e *TryError) Code() failure.Code {
 	code := failure.Of(e.Cause).Code()
-	switch {
-	case code != failure.CodeInternal:
+	switch code {
+	case failure.CodeDeadline, failure.CodeRefused, failure.CodeUnreachable, failure.CodeBroken, failure.CodePending:
 		return code
+	default:
+	}
+	switch {
 	case errors.Is(e.Cause, context.DeadlineExceeded):
 		return failure.CodeDeadline
+	case e.Outcome() == failure.OutcomeNotRun:
+		return failure.CodeRefused
 	}
 	return failure.CodeBroken
 }
--- a/request/fixture_test.go
+++ b/request/fixture_test.go
@@ -34,6 +34,9 @@
 	lose    int
 	// gate, if set, delays appends until it is closed.
 	gate chan struct{}
+	// delay is the time that an append takes.
+	delay   time.Duration
+	appends int
 }
 
 func (l *memoryLog) set(down bool, lose int) {
@@ -42,12 +45,14 @@
 	l.down, l.lose = down, lose
 }
 
-func (l *memoryLog) Append(_ context.Context, _ record.Stream, records []json.RawMessage) (record.Offset, error) {
+func (l *memoryLog) Append(ctx context.Context, _ record.Stream, records []json.RawMessage) (record.Offset, error) {
+	_ = (&timer.Service{}).Sleep(ctx, l.delay)
 	if l.gate != nil {
 		<-l.gate
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.appends++
 	if l.down {
 		return 0, &platform.RefusedError{Call: "append", Refusal: platform.RefusedDown}
 	}
--- a/request/flight.go
+++ b/request/flight.go
@@ -5,32 +5,47 @@
 	"sync"
 )
 
-// Flight counts the requests in flight and refuses new ones after Stop. The zero value is ready to
-// use.
+const (
+	// maxRequests and maxBytes bound the requests in flight of one entry, which has little memory. The
+	// queues of the pools are bounded as well, but a body is read before its pool is known.
+	maxRequests = 4096
+	maxBytes    = 32 << 20
+)
+
+// Flight counts the requests in flight, bounds them, and refuses new ones after Stop. The zero value
+// is ready to use.
 type Flight struct {
-	mu       sync.Mutex
-	count    int
+	mu    sync.Mutex
+	count int
+	// bytes is the sum of the bodies that the requests in flight may have.
+	bytes    int64
 	stopping bool
 	// idle is closed when count becomes 0; nil while nobody waits for it.
 	idle chan struct{}
 }
 
-// Enter counts a request. It fails with StoppingError after Stop. Each successful call needs a Leave.
-func (f *Flight) Enter() error {
+// Enter counts a request whose body has at most size bytes. It fails with StoppingError after Stop and
+// with CrowdedError over the bounds. Each successful call needs a Leave with the same size.
+func (f *Flight) Enter(size int64) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.stopping {
 		return &StoppingError{}
 	}
+	if f.count >= maxRequests || f.bytes+size > maxBytes {
+		return &CrowdedError{Requests: f.count, Bytes: f.bytes}
+	}
 	f.count++
+	f.bytes += size
 	return nil
 }
 
 // Leave ends a request.
-func (f *Flight) Leave() {
+func (f *Flight) Leave(size int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.count--
+	f.bytes -= size
 	if f.count == 0 && f.idle != nil {
 		close(f.idle)
 		f.idle = nil
--- a/request/handler.go
+++ b/request/handler.go
@@ -64,11 +64,12 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if err := h.flight.Enter(); err != nil {
+	size := bodySize(r)
+	if err := h.flight.Enter(size); err != nil {
 		writeFailure(w, "", err)
 		return
 	}
-	defer h.flight.Leave()
+	defer h.flight.Leave(size)
 	if !strings.HasPrefix(r.URL.Path, Reserved) {
 		h.requests.ServeHTTP(w, r)
 		return
@@ -80,6 +81,14 @@
 	h.reserved.ServeHTTP(w, r)
 }
 
+// bodySize returns the most bytes that the body of r may take in memory.
+func bodySize(r *http.Request) int64 {
+	if r.ContentLength < 0 {
+		return MaxBody
+	}
+	return min(r.ContentLength, MaxBody)
+}
+
 // Stop refuses new requests from now on.
 func (h *Handler) Stop() { h.flight.Stop() }
 
--- a/request/request.go
+++ b/request/request.go
@@ -77,7 +77,8 @@
 }
 
 // Sender sends a try to its target. An error carries the outcome of the try: notrun only if no byte
-// was written or the target refused the request before it started.
+// was written or the target refused the request before it started. It must not write a request a
+// second time by itself, as net/http.Transport does for one with an Idempotency-Key header.
 type Sender interface {
 	Send(ctx context.Context, try *Try) (*Reply, error)
 }
