config, cmd: keep unchanged teams and routes; fetch for editing

At 170 teams and 290 routes besides 290 pools, a change of one pool in the base file still merged and matched all teams and routes of 14 sites.

publish reads the versions just before it publishes, so it could not detect changes made while a file was edited. fetch writes the published files with their versions to a directory, and a publish from there is based on these.

--- a/cmd/error.go
+++ b/cmd/error.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/audit"
+	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/failure"
 )
 
@@ -134,3 +135,41 @@
 
 // Outcome implements failure.Coded.
 func (e *AnswerError) Outcome() failure.Outcome { return failure.OutcomeUnknown }
+
+// WorkspaceError reports a directory of fetched files that cannot be read or written.
+type WorkspaceError struct {
+	Dir   string
+	Cause error
+}
+
+func (e *WorkspaceError) Error() string {
+	return fmt.Sprintf("directory %s cannot be used: %v", e.Dir, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *WorkspaceError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Coded.
+func (e *WorkspaceError) Code() failure.Code { return failure.CodeInvalid }
+
+// Outcome implements failure.Coded.
+func (e *WorkspaceError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// EditedError reports files that fetch would overwrite although they were edited.
+type EditedError struct {
+	Files []config.File
+}
+
+func (e *EditedError) Error() string {
+	names := make([]string, len(e.Files))
+	for i, name := range e.Files {
+		names[i] = string(name)
+	}
+	return "files were edited, use --force to overwrite them: " + strings.Join(names, ", ")
+}
+
+// Code implements failure.Coded.
+func (e *EditedError) Code() failure.Code { return failure.CodeConflict }
+
+// Outcome implements failure.Coded.
+func (e *EditedError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
--- a/cmd/publish.go
+++ b/cmd/publish.go
@@ -35,8 +35,10 @@
 	settle time.Duration
 
 	client *admin.Client
-	timer  *timer.Service
-	out    io.Writer
+	// workspace is nil if the files are not in a directory that fetch filled.
+	workspace *workspace
+	timer     *timer.Service
+	out       io.Writer
 }
 
 func newPublish() *cobra.Command {
@@ -46,8 +48,9 @@
 		Short: "Publish files, each based on a version",
 		Long: `Publish sets or removes files of the configuration in force. Each file is based on a version; if
 another operator has published the file since, nothing is published and the other change is shown.
-Without --based the versions are read just before the publish, and files that equal the published ones
-are left out. Give --based to detect changes that were made while you edited.
+The versions are those of --based, else those that fetch wrote to the directory. Without either they
+are read just before the publish, which does not detect changes that were made while you edited. Files
+that equal the ones in that version are left out, unless --based is given.
 
 The exit status is 0 if the publish is in force, 1 if it is not, and 2 if that is unknown.`,
 		Args: cobra.NoArgs,
@@ -85,11 +88,7 @@
 	if err != nil {
 		return err
 	}
-	if p.based != nil {
-		err = p.nameVersions(changes)
-	} else {
-		changes, err = p.readVersions(ctx, changes)
-	}
+	changes, err = p.withVersions(ctx, changes)
 	if err != nil {
 		return err
 	}
@@ -108,6 +107,9 @@
 	var changes []config.FileChange
 	var faults []config.Fault
 	for _, file := range files {
+		if p.removes(file.Name) {
+			continue
+		}
 		change := config.FileChange{Name: file.Name, Content: file.Data}
 		faults = append(faults, change.Check()...)
 		if change.Removes() {
@@ -128,6 +130,27 @@
 	return changes, nil
 }
 
+func (p *publisher) removes(name config.File) bool {
+	return slices.ContainsFunc(p.remove, func(s string) bool { return config.Overlay(site.Name(s)) == name })
+}
+
+// withVersions names the version that each change is based on.
+func (p *publisher) withVersions(ctx context.Context, changes []config.FileChange) ([]config.FileChange, error) {
+	if p.files.dir != "" {
+		var err error
+		if p.workspace, err = openWorkspace(p.files.dir); err != nil {
+			return nil, err
+		}
+	}
+	switch {
+	case p.based != nil:
+		return changes, p.nameVersions(changes)
+	case p.workspace != nil:
+		return p.workspace.nameVersions(changes), nil
+	}
+	return p.readVersions(ctx, changes)
+}
+
 // nameVersions takes the versions from --based.
 func (p *publisher) nameVersions(changes []config.FileChange) error {
 	for i := range changes {
@@ -173,7 +196,7 @@
 	}
 	answer, err := p.client.Publish(ctx, request, p.dry)
 	if err == nil {
-		return p.print(answer, request)
+		return p.done(answer, request)
 	}
 	coded := failure.Of(err)
 	switch {
@@ -185,6 +208,14 @@
 	return err
 }
 
+// done prints and notes a publish that is in force, or a dry run without faults.
+func (p *publisher) done(answer admin.PublishAnswer, request admin.PublishRequest) error {
+	if err := p.print(answer, request); err != nil || p.workspace == nil || answer.Dry {
+		return err
+	}
+	return p.workspace.record(request.Files, answer.Version)
+}
+
 func (p *publisher) print(answer admin.PublishAnswer, request admin.PublishRequest) error {
 	if p.asJSON {
 		return printJSON(p.out, answer)
--- a/cmd/resolve.go
+++ b/cmd/resolve.go
@@ -51,7 +51,7 @@
 func (p *publisher) report(ctx context.Context, entry audit.Entry, request admin.PublishRequest) error {
 	switch entry.Verdict {
 	case stream.ResultApplied:
-		return p.print(admin.PublishAnswer{Version: entry.Offset}, request)
+		return p.done(admin.PublishAnswer{Version: entry.Offset}, request)
 	case stream.ResultStale:
 		return p.race(ctx, request, entry.Cause)
 	case stream.ResultInvalid, stream.ResultDuplicate:
--- a/cmd/root.go
+++ b/cmd/root.go
@@ -51,6 +51,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newCheck(), newPublish(), newStatus(), newAudit(), newJob())
+	root.AddCommand(newCheck(), newFetch(), newPublish(), newStatus(), newAudit(), newJob())
 	return root
 }
--- a/config/check.go
+++ b/config/check.go
@@ -21,6 +21,8 @@
 	tree map[string]any
 	// pools holds the canonical encoding of each pool; it is nil if there is no object of pools.
 	pools map[string][]byte
+	// teams and routes are the canonical encodings of these keys; nil if they are missing.
+	teams, routes []byte
 }
 
 // decode decodes and canonicalises the content of a file.
@@ -39,6 +41,8 @@
 // newDecoded encodes a tree that was decoded from JSON, which never fails.
 func newDecoded(tree map[string]any) *decoded {
 	d := &decoded{tree: tree, data: encode(tree)}
+	d.teams = encode(lookup(tree, teamsKey))
+	d.routes = encode(lookup(tree, routesKey))
 	if pools, ok := tree[poolsKey].(map[string]any); ok {
 		d.pools = make(map[string][]byte, len(pools))
 		for name, spec := range pools {
--- a/config/merge.go
+++ b/config/merge.go
@@ -9,10 +9,15 @@
 
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/site"
+	"hibiscuslane.example/hibiscuslane/team"
 )
 
-// poolsKey is the key of the pools in files.
-const poolsKey = "pools"
+// Keys of files.
+const (
+	poolsKey  = "pools"
+	teamsKey  = "teams"
+	routesKey = "routes"
+)
 
 // merged is a valid merge that is in force.
 type merged struct {
@@ -32,20 +37,52 @@
 	return &merged{base: v.files[Base].decoded, overlay: v.files[Overlay(name)].decoded, settings: settings}
 }
 
-// unchanged returns the pools whose merge is the same as in m, because neither file changes them. Merge
-// patches of objects apply key by key, so each pool can be merged by itself.
-func (m *merged) unchanged(base, overlay *decoded) map[pool.Name]pool.Spec {
-	if m == nil || base.pools == nil || overlay.pools == nil || m.base.pools == nil || m.overlay.pools == nil {
-		return nil
+// kept are the parts of an earlier merge that stay as they are.
+type kept struct {
+	pools map[pool.Name]pool.Spec
+	// teams and routes are nil if they may change.
+	teams  map[team.Name]team.Spec
+	routes []Route
+}
+
+// unchanged returns the parts whose merge is the same as in m, because neither file changes them. Merge
+// patches of objects apply key by key, so each key can be merged by itself.
+func (m *merged) unchanged(base, overlay *decoded) kept {
+	var k kept
+	if m == nil {
+		return k
+	}
+	if bytes.Equal(m.base.teams, base.teams) && bytes.Equal(m.overlay.teams, overlay.teams) {
+		k.teams = m.settings.Teams
+	}
+	if bytes.Equal(m.base.routes, base.routes) && bytes.Equal(m.overlay.routes, overlay.routes) {
+		k.routes = m.settings.Routes
 	}
-	same := map[pool.Name]pool.Spec{}
+	if base.pools == nil || overlay.pools == nil || m.base.pools == nil || m.overlay.pools == nil {
+		return k
+	}
+	k.pools = map[pool.Name]pool.Spec{}
 	for name, spec := range m.settings.Pools {
 		key := string(name)
 		if equal(m.base.pools, base.pools, key) && equal(m.overlay.pools, overlay.pools, key) {
-			same[name] = spec
+			k.pools[name] = spec
 		}
 	}
-	return same
+	return k
+}
+
+// restore adds the parts to settings that were merged without them.
+func (k kept) restore(settings *Settings) {
+	if settings.Pools == nil {
+		settings.Pools = map[pool.Name]pool.Spec{}
+	}
+	maps.Copy(settings.Pools, k.pools)
+	if k.teams != nil {
+		settings.Teams = k.teams
+	}
+	if k.routes != nil {
+		settings.Routes = k.routes
+	}
 }
 
 func equal(old, new map[string][]byte, key string) bool {
@@ -54,24 +91,29 @@
 	return had == has && bytes.Equal(before, after)
 }
 
-// without returns the encoded document without some pools.
-func (d *decoded) without(pools map[pool.Name]pool.Spec) []byte {
-	if len(pools) == 0 {
-		return d.data
-	}
-	rest := map[string]any{}
-	for name, spec := range d.tree[poolsKey].(map[string]any) {
-		if _, skip := pools[pool.Name(name)]; !skip {
-			rest[name] = spec
+// without returns the encoded document with empty values in place of the kept parts.
+func (d *decoded) without(k kept) []byte {
+	tree := maps.Clone(d.tree)
+	if k.teams != nil {
+		tree[teamsKey] = map[string]any{}
+	}
+	if k.routes != nil {
+		tree[routesKey] = []any{}
+	}
+	if k.pools != nil {
+		rest := map[string]any{}
+		for name, spec := range d.tree[poolsKey].(map[string]any) {
+			if _, skip := k.pools[pool.Name(name)]; !skip {
+				rest[name] = spec
+			}
 		}
+		tree[poolsKey] = rest
 	}
-	tree := maps.Clone(d.tree)
-	tree[poolsKey] = rest
 	return encode(tree)
 }
 
-// merge returns the settings of one site, or what is wrong with them. Pools that are unchanged since an
-// earlier valid merge, if there is one, are neither merged nor matched with the schema again: at 290
+// merge returns the settings of one site, or what is wrong with them. Parts that are unchanged since
+// an earlier valid merge, if there is one, are neither merged nor matched with the schema again: at 290
 // pools these two steps are most of the cost of a publish.
 func merge(base, overlay *decoded, old *merged) (*Settings, []finding) {
 	same := old.unchanged(base, overlay)
@@ -91,10 +133,7 @@
 	if err := json.Unmarshal(data, settings); err != nil && len(wrong) == 0 {
 		return nil, broken("cannot be read", err)
 	}
-	if settings.Pools == nil {
-		settings.Pools = map[pool.Name]pool.Spec{}
-	}
-	maps.Copy(settings.Pools, same)
+	same.restore(settings)
 	found := append(findings(wrong), names(settings)...)
 	for _, f := range rules(settings) {
 		if !f.follows(wrong) {
--- a/config/state_test.go
+++ b/config/state_test.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -112,6 +114,35 @@
 	require.Equal(t, 2, alpha.Pools["web"].Size.Targets, "settings that were handed out never change")
 }
 
+// TestReadersDuringFold guards against readers that see a fold half done or race with it.
+func TestReadersDuringFold(t *testing.T) {
+	l := small(t)
+	var readers sync.WaitGroup
+	stop := make(chan struct{})
+	for range 4 {
+		readers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				version, files, sites := l.Overview()
+				assert.Len(t, files, len(sites)+1)
+				assert.GreaterOrEqual(t, version, files[1].Version)
+				assert.NotEmpty(t, l.Trail())
+			}
+		})
+	}
+	for i := range 50 {
+		file, _ := l.File("site/alpha")
+		l.publish("ada", set("site/alpha", file.Version, overlay(i)))
+		l.publish("ada", set("site/alpha", 0, overlay(i)))
+	}
+	close(stop)
+	readers.Wait()
+}
+
 // TestTrailBounds guards against a trail that grows without end, and against rejected publishes that
 // displace accepted ones.
 func TestTrailBounds(t *testing.T) {
@@ -151,7 +182,7 @@
 				}
 				content := string(file.Data)
 				number := rapid.IntRange(0, 9).Draw(r, "number")
-				switch rapid.IntRange(0, 4).Draw(r, "content") {
+				switch rapid.IntRange(0, 6).Draw(r, "content") {
 				case 0:
 					content = strings.Replace(content, `"targets": 2`, fmt.Sprintf(`"targets": %d.0`, number), 1)
 					content = strings.Replace(content, `"queue": 256`, fmt.Sprintf(`"queue": %d`, number), number%3+1)
@@ -159,6 +190,10 @@
 					content = "null"
 				case 2:
 					content = strings.Replace(content, `"spare": {`, `"spare": null, "other": {`, number%2)
+				case 3:
+					content = strings.Replace(content, `"region"`, fmt.Sprintf(`"teams": {"urgent": {"weight": %d}}, "region"`, number), 1)
+				case 4:
+					content = strings.Replace(content, `"routes": [`, fmt.Sprintf(`"routes": [{"prefix": "/%d", "pool": "web"},`, number), 1)
 				}
 				based := record.Offset(rapid.IntRange(-1, int(one.next)).Draw(r, "based"))
 				if present, ok := one.File(file.Name); ok && rapid.Bool().Draw(r, "current") {
--- a/config/testing_test.go
+++ b/config/testing_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/config"
+	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
 )
@@ -75,18 +76,21 @@
 		`"spare":{"size":{"targets":1,"workers":1},"budget":{"targets":0,"workers":0}}}}`, size)
 }
 
-// large returns files of the target size: 14 sites and 290 pools.
+// large returns files of the target size: 14 sites, 290 pools with a route each, and 170 teams.
 func large() []config.Content {
-	base := config.Settings{Pools: nil, Routes: []config.Route{}, Weights: config.Weights{Buffer: 1}}
-	tree := map[string]any{"teams": map[string]any{}, "routes": base.Routes, "weights": base.Weights, "maintenance": base.Maintenance}
-	pools, sizes := map[string]any{}, map[string]any{}
+	pools, sizes, teams := map[string]any{}, map[string]any{}, map[string]any{}
+	var routes []config.Route
 	for i := range 290 {
 		name := fmt.Sprintf("pool-%03d", i)
 		pools[name] = map[string]any{"slots": 8, "connections": 64, "queue": 256, "timeout": 10000, "spare": i == 0}
 		sizes[name] = map[string]any{"size": map[string]int{"targets": 3, "workers": 2}, "budget": map[string]int{"targets": 2, "workers": 1}}
+		routes = append(routes, config.Route{Prefix: "/" + name, Pool: pool.Name(name)})
 	}
-	tree["pools"] = pools
-	files := []config.Content{{Name: config.Base, Data: encode(tree)}}
+	for i := range 170 {
+		teams[fmt.Sprintf("team-%03d", i)] = map[string]any{"weight": 1, "rate": 50, "cores": 400, "memory": 100000}
+	}
+	base := map[string]any{"pools": pools, "teams": teams, "routes": routes, "weights": config.Weights{Buffer: 1}, "maintenance": config.Maintenance{}}
+	files := []config.Content{{Name: config.Base, Data: encode(base)}}
 	for i := range 14 {
 		name := config.File(fmt.Sprintf("site/site-%02d", i))
 		files = append(files, config.Content{Name: name, Data: encode(map[string]any{"region": "north", "pools": sizes})})
