config: bound the reasons of verdicts, name who removed a file

A base file with a fault in every pool gave a reason of tens of kilobytes each, so repeated faulty publishes could fill the memory of an entry. The reason in a verdict is now cut at 1 KiB; callers get the whole report from the check before the append.

A publish based on a version of a removed overlay now tells who removed it.

--- a/admin/admin_test.go
+++ b/admin/admin_test.go
@@ -20,6 +20,12 @@
 	"hibiscuslane.example/hibiscuslane/stream"
 )
 
+// What an entry wires must fit the interfaces of the handlers.
+var (
+	_ admin.Configuration = (*config.State)(nil)
+	_ admin.Publisher     = (*stream.Proposer)(nil)
+)
+
 // publisher folds publishes at once. Before, if set, runs first and may fail.
 type publisher struct {
 	state  *config.State
--- a/cmd/workspace.go
+++ b/cmd/workspace.go
@@ -36,9 +36,9 @@
 
 // openWorkspace returns nil if the directory was not filled by fetch.
 func openWorkspace(dir string) (*workspace, error) {
-	data, err := os.ReadFile(filepath.Join(dir, versionsFile)) //nolint:gosec // The operator names the directory.
+	data, err := os.ReadFile(filepath.Join(dir, versionsFile))
 	if errors.Is(err, fs.ErrNotExist) {
-		return nil, nil //nolint:nilnil // There is no workspace and no error.
+		return nil, nil
 	}
 	if err != nil {
 		return nil, &WorkspaceError{Dir: dir, Cause: err}
--- a/config/dir.go
+++ b/config/dir.go
@@ -30,7 +30,7 @@
 
 // ReadFile reads the content of a file from disk.
 func ReadFile(name File, path string) (Content, error) {
-	data, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
+	data, err := os.ReadFile(path)
 	if err != nil {
 		return Content{}, &ReadError{Cause: err}
 	}
--- a/config/error.go
+++ b/config/error.go
@@ -60,6 +60,9 @@
 }
 
 func (c Conflict) String() string {
+	if c.Version < 0 && c.Author != "" {
+		return fmt.Sprintf("%s is based on version %d and was removed by %q (%s)", c.File, c.Based, string(c.Author), c.Reason)
+	}
 	if c.Version < 0 {
 		return fmt.Sprintf("%s is based on version %d and does not exist", c.File, c.Based)
 	}
--- a/config/state.go
+++ b/config/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"maps"
 	"slices"
 	"sync"
@@ -149,7 +150,7 @@
 	next, err := old.fold(offset, envelope, &entry)
 	verdict := verdictOn(err)
 	entry.Verdict = verdict.Result
-	entry.Cause = clip(verdict.Reason)
+	entry.Cause = verdict.Reason
 	if err != nil {
 		next = old.reject(entry)
 	} else {
@@ -162,15 +163,19 @@
 	return verdict
 }
 
+// verdictOn bounds the reason, because followers keep thousands of verdicts and a base file can have a
+// fault in every pool of every site.
 func verdictOn(err error) stream.Verdict {
 	if err == nil {
 		return stream.Applied
 	}
-	//nolint:errorlint // fold returns its own error types unwrapped.
-	if conflict, ok := err.(*ConflictError); ok {
-		return stream.Stale(conflict.brief())
+	verdict := stream.Invalid(err)
+	var conflict *ConflictError
+	if errors.As(err, &conflict) {
+		verdict = stream.Stale(conflict.brief())
 	}
-	return stream.Invalid(err)
+	verdict.Reason = clip(verdict.Reason)
+	return verdict
 }
 
 // fold returns the view after a publish. It completes the objects of the entry as far as it gets.
@@ -315,7 +320,9 @@
 	for _, change := range p.Files {
 		file, ok := v.files[change.Name]
 		if !ok && change.Based != NoVersion {
-			conflicts = append(conflicts, Conflict{File: change.Name, Based: change.Based, Version: NoVersion})
+			conflict := Conflict{File: change.Name, Based: change.Based, Version: NoVersion}
+			conflict.Author, conflict.Reason = v.remover(change.Name)
+			conflicts = append(conflicts, conflict)
 		}
 		if ok && file.version != change.Based {
 			conflicts = append(conflicts, Conflict{
--- a/config/state_test.go
+++ b/config/state_test.go
@@ -1,6 +1,7 @@
 package config_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"strings"
@@ -44,15 +45,16 @@
 	require.ErrorContains(t, err, "/pools/web/size/targets 2 -> 5")
 }
 
-// TestRemove guards against a base change that an overlay published later could hide, and against a
-// version that survives the removal of its file.
+// TestRemove guards against a version that survives the removal of its file, and against a conflict that
+// does not tell who removed it.
 func TestRemove(t *testing.T) {
 	l := small(t)
 	_, verdict := l.publish("ada", set("site/gamma", 0, "null"))
 	require.Equal(t, stream.Applied, verdict)
 	require.Len(t, l.Sites(), 2)
-	_, verdict = l.publish("ada", set("site/gamma", 0, overlay(2)))
+	_, verdict = l.publish("ben", set("site/gamma", 0, overlay(2)))
 	require.Equal(t, stream.ResultStale, verdict.Result)
+	require.Contains(t, verdict.Reason, `was removed by "ada"`)
 	_, verdict = l.publish("ada", set("site/gamma", -1, overlay(2)))
 	require.Equal(t, stream.Applied, verdict)
 	require.Len(t, l.Sites(), 3)
@@ -143,6 +145,17 @@
 	readers.Wait()
 }
 
+// TestVerdictBound guards against verdicts that carry a fault for every pool, of which followers keep
+// thousands.
+func TestVerdictBound(t *testing.T) {
+	files := large()
+	broken := bytes.ReplaceAll(files[0].Data, []byte(`"queue":256`), []byte(`"queue":-1`))
+	l := &log{}
+	_, verdict := l.publish("ada", set(config.Base, -1, string(broken)))
+	require.Equal(t, stream.ResultInvalid, verdict.Result)
+	require.LessOrEqual(t, len(verdict.Reason), 1024)
+}
+
 // TestTrailBounds guards against a trail that grows without end, and against rejected publishes that
 // displace accepted ones.
 func TestTrailBounds(t *testing.T) {
@@ -182,7 +195,7 @@
 				}
 				content := string(file.Data)
 				number := rapid.IntRange(0, 9).Draw(r, "number")
-				switch rapid.IntRange(0, 6).Draw(r, "content") {
+				switch rapid.IntRange(0, 7).Draw(r, "content") {
 				case 0:
 					content = strings.Replace(content, `"targets": 2`, fmt.Sprintf(`"targets": %d.0`, number), 1)
 					content = strings.Replace(content, `"queue": 256`, fmt.Sprintf(`"queue": %d`, number), number%3+1)
@@ -193,6 +206,8 @@
 				case 3:
 					content = strings.Replace(content, `"region"`, fmt.Sprintf(`"teams": {"urgent": {"weight": %d}}, "region"`, number), 1)
 				case 4:
+					content = strings.Replace(content, `"weight": 4`, fmt.Sprintf(`"weight": %d`, number), 1)
+				case 5:
 					content = strings.Replace(content, `"routes": [`, fmt.Sprintf(`"routes": [{"prefix": "/%d", "pool": "web"},`, number), 1)
 				}
 				based := record.Offset(rapid.IntRange(-1, int(one.next)).Draw(r, "based"))
--- a/config/testing_test.go
+++ b/config/testing_test.go
@@ -108,7 +108,7 @@
 
 func read(t testing.TB, path string) []byte {
 	t.Helper()
-	data, err := os.ReadFile(path) //nolint:gosec // The test names the file.
+	data, err := os.ReadFile(path)
 	require.NoError(t, err)
 	return data
 }
--- a/config/trail.go
+++ b/config/trail.go
@@ -183,3 +183,15 @@
 	}
 	return changes[:min(len(changes), changesKept)]
 }
+
+// remover returns who removed a file and why, as far as the trail reaches.
+func (v *view) remover(name File) (author record.Author, reason string) {
+	for _, entry := range slices.Backward(v.accepted) {
+		for _, object := range entry.Objects {
+			if object.Name == string(name) {
+				return entry.Author, entry.Decision
+			}
+		}
+	}
+	return "", ""
+}
--- a/document/schema.go
+++ b/document/schema.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"math/big"
 	"slices"
@@ -40,9 +41,8 @@
 	if err == nil {
 		return nil
 	}
-	//nolint:errorlint // Validate documents this concrete type.
-	invalid, ok := err.(*jsonschema.ValidationError)
-	if !ok {
+	var invalid *jsonschema.ValidationError
+	if !errors.As(err, &invalid) {
 		return []Fault{{Reason: err.Error()}}
 	}
 	return leaves(invalid, nil)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -67,7 +67,7 @@
 
 // Load reads settings from a file. It fails with ReadError or CheckError.
 func Load(path string) (Settings, error) {
-	data, err := os.ReadFile(path) //nolint:gosec // The operator names the file.
+	data, err := os.ReadFile(path)
 	if err != nil {
 		return Settings{}, &ReadError{Path: path, Cause: err}
 	}
