--- a/config/state_test.go
+++ b/config/state_test.go
@@ -1,12 +1,15 @@
 package config_test
 
 import (
+	"bytes"
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
@@ -42,15 +45,16 @@
 	require.ErrorContains(t, err, "/pools/web/size/targets 2 -> 5")
 }
 
-// TestRemove guards against a base change that an overlay published later could hide, and against a
-// version that survives the removal of its file.
+// TestRemove guards against a version that survives the removal of its file, and against a conflict that
+// does not tell who removed it.
 func TestRemove(t *testing.T) {
 	l := small(t)
 	_, verdict := l.publish("ada", set("site/gamma", 0, "null"))
 	require.Equal(t, stream.Applied, verdict)
 	require.Len(t, l.Sites(), 2)
-	_, verdict = l.publish("ada", set("site/gamma", 0, overlay(2)))
+	_, verdict = l.publish("ben", set("site/gamma", 0, overlay(2)))
 	require.Equal(t, stream.ResultStale, verdict.Result)
+	require.Contains(t, verdict.Reason, `was removed by "ada"`)
 	_, verdict = l.publish("ada", set("site/gamma", -1, overlay(2)))
 	require.Equal(t, stream.Applied, verdict)
 	require.Len(t, l.Sites(), 3)
@@ -112,6 +116,46 @@
 	require.Equal(t, 2, alpha.Pools["web"].Size.Targets, "settings that were handed out never change")
 }
 
+// TestReadersDuringFold guards against readers that see a fold half done or race with it.
+func TestReadersDuringFold(t *testing.T) {
+	l := small(t)
+	var readers sync.WaitGroup
+	stop := make(chan struct{})
+	for range 4 {
+		readers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				version, files, sites := l.Overview()
+				assert.Len(t, files, len(sites)+1)
+				assert.GreaterOrEqual(t, version, files[1].Version)
+				assert.NotEmpty(t, l.Trail())
+			}
+		})
+	}
+	for i := range 50 {
+		file, _ := l.File("site/alpha")
+		l.publish("ada", set("site/alpha", file.Version, overlay(i)))
+		l.publish("ada", set("site/alpha", 0, overlay(i)))
+	}
+	close(stop)
+	readers.Wait()
+}
+
+// TestVerdictBound guards against verdicts that carry a fault for every pool, of which followers keep
+// thousands.
+func TestVerdictBound(t *testing.T) {
+	files := large()
+	broken := bytes.ReplaceAll(files[0].Data, []byte(`"queue":256`), []byte(`"queue":-1`))
+	l := &log{}
+	_, verdict := l.publish("ada", set(config.Base, -1, string(broken)))
+	require.Equal(t, stream.ResultInvalid, verdict.Result)
+	require.LessOrEqual(t, len(verdict.Reason), 1024)
+}
+
 // TestTrailBounds guards against a trail that grows without end, and against rejected publishes that
 // displace accepted ones.
 func TestTrailBounds(t *testing.T) {
@@ -151,7 +195,7 @@
 				}
 				content := string(file.Data)
 				number := rapid.IntRange(0, 9).Draw(r, "number")
-				switch rapid.IntRange(0, 4).Draw(r, "content") {
+				switch rapid.IntRange(0, 7).Draw(r, "content") {
 				case 0:
 					content = strings.Replace(content, `"targets": 2`, fmt.Sprintf(`"targets": %d.0`, number), 1)
 					content = strings.Replace(content, `"queue": 256`, fmt.Sprintf(`"queue": %d`, number), number%3+1)
@@ -159,6 +203,12 @@
 					content = "null"
 				case 2:
 					content = strings.Replace(content, `"spare": {`, `"spare": null, "other": {`, number%2)
+				case 3:
+					content = strings.Replace(content, `"region"`, fmt.Sprintf(`"teams": {"urgent": {"weight": %d}}, "region"`, number), 1)
+				case 4:
+					content = strings.Replace(content, `"weight": 4`, fmt.Sprintf(`"weight": %d`, number), 1)
+				case 5:
+					content = strings.Replace(content, `"routes": [`, fmt.Sprintf(`"routes": [{"prefix": "/%d", "pool": "web"},`, number), 1)
 				}
 				based := record.Offset(rapid.IntRange(-1, int(one.next)).Draw(r, "based"))
 				if present, ok := one.File(file.Name); ok && rapid.Bool().Draw(r, "current") {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -285,7 +285,7 @@
 		followers[name] = c.follower
 	}
 	peers := peer.NewServer(peer.NewHandler(peer.Service{
-		Reporter: e.group, Slots: e.owners, Answers: answersServer{claimer: e.claimer, self: e.self},
+		Reporter: e.group, Slots: e.owners, Answers: answersServer{claimer: e.claimer},
 		Snapshotter: &snapshot.Server{Followers: followers, Loaded: func(name record.Stream) bool { return e.channels[name].loaded() }},
 	}))
 	admin := &http.Server{Handler: e.adminHandler(), ReadHeaderTimeout: readHeaderTimeout}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -18,17 +18,12 @@
 // answersServer serves the stored answers of this entry. It implements peer.Answers.
 type answersServer struct {
 	claimer *claim.Claimer
-	self    record.Writer
 }
 
 // Answer implements peer.Answers.
 func (a answersServer) Answer(_ context.Context, query *peer.AnswerQuery) (*peer.StoredAnswer, error) {
-	if query.GetIncarnation() != uint64(a.self.Incarnation) {
-		return &peer.StoredAnswer{}, nil
-	}
-	id := record.ID{Writer: a.self, Sequence: record.Sequence(query.GetClaim())}
 	key := claim.Key{Team: team.Name(query.GetTeam()), Key: query.GetKey()}
-	stored := a.claimer.Answer(key, id)
+	stored := a.claimer.Answer(key, query.GetClaim())
 	if stored == nil {
 		return &peer.StoredAnswer{}, nil
 	}
@@ -51,7 +46,7 @@
 	ctx, cancel := a.timeout(ctx, answerTimeout)
 	defer cancel()
 	stored, err := a.clients.Get(address).Answer(ctx, &peer.AnswerQuery{
-		Incarnation: uint64(holder.Incarnation), Team: string(key.Team), Key: key.Key, Claim: uint64(id.Sequence),
+		Team: string(key.Team), Key: key.Key, Claim: id.String(),
 	})
 	if err != nil {
 		return nil, err
