job: state, placement, runner and HTTP interface

Jobs are folded from the job stream: submit, place, start, finish, lapse, cancel, quarantine, restore. A plan per pool places queued jobs, and the runner carries tasks on the workers that this entry ranks first for. The HTTP interface submits, reads and cancels jobs.

Ruled out: deciding a lapse by the time of a record, because clocks of entries differ; a job that can never run is ended by the fold, not by a record of its own, so that no plan has to win a race for it.

--- /dev/null
+++ b/job/error.go
@@ -0,0 +1,185 @@
+package job
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/team"
+)
+
+// KindError reports a record of a kind that the job stream does not have.
+type KindError struct {
+	Kind record.Kind
+}
+
+func (e *KindError) Error() string { return fmt.Sprintf("record kind %q is unknown", e.Kind) }
+
+// Code implements failure.Coded.
+func (e *KindError) Code() failure.Code { return failure.CodeInvalid }
+
+// Outcome implements failure.Coded.
+func (e *KindError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// FieldError reports a field of a record or a call that breaks a rule.
+type FieldError struct {
+	Field string
+	Rule  string
+}
+
+func (e *FieldError) Error() string { return "field " + e.Field + " " + e.Rule }
+
+// Code implements failure.Coded.
+func (e *FieldError) Code() failure.Code { return failure.CodeInvalid }
+
+// Outcome implements failure.Coded.
+func (e *FieldError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// SnapshotError reports a snapshot of the job state that is malformed or contradicts itself.
+type SnapshotError struct {
+	Reason string
+}
+
+func (e *SnapshotError) Error() string { return "job snapshot is invalid: " + e.Reason }
+
+// Code implements failure.Coded.
+func (e *SnapshotError) Code() failure.Code { return failure.CodeInvalid }
+
+// Outcome implements failure.Coded.
+func (e *SnapshotError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// MissingError reports a job that is not in the state: it was never submitted, or ended long ago.
+type MissingError struct {
+	ID ID
+}
+
+func (e *MissingError) Error() string { return fmt.Sprintf("job %q is not known", e.ID) }
+
+// Code implements failure.Coded.
+func (e *MissingError) Code() failure.Code { return failure.CodeMissing }
+
+// Outcome implements failure.Coded.
+func (e *MissingError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// IsMissing reports whether err is a MissingError.
+func IsMissing(err error) bool {
+	var missing *MissingError
+	return errors.As(err, &missing)
+}
+
+// PathError reports a call of the job interface that does not exist.
+type PathError struct {
+	Method, Path string
+}
+
+func (e *PathError) Error() string { return fmt.Sprintf("there is no call %s %s", e.Method, e.Path) }
+
+// Code implements failure.Coded.
+func (e *PathError) Code() failure.Code { return failure.CodeMissing }
+
+// Outcome implements failure.Coded.
+func (e *PathError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// ReusedError reports an idempotency key that was used for another job.
+type ReusedError struct {
+	Team team.Name
+	Key  string
+	ID   ID
+}
+
+func (e *ReusedError) Error() string {
+	return fmt.Sprintf("idempotency key %q of team %s belongs to job %s, which has another content", e.Key, e.Team, e.ID)
+}
+
+// Code implements failure.Coded.
+func (e *ReusedError) Code() failure.Code { return failure.CodeReused }
+
+// Outcome implements failure.Coded.
+func (e *ReusedError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// FullError reports a submit that was refused because the state holds the most open jobs it may.
+type FullError struct {
+	Reason string
+}
+
+func (e *FullError) Error() string { return e.Reason }
+
+// Code implements failure.Coded.
+func (e *FullError) Code() failure.Code { return failure.CodeOverloaded }
+
+// Outcome implements failure.Coded.
+func (e *FullError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// RetryAfter implements failure.Delayed.
+func (e *FullError) RetryAfter() time.Duration { return fullRetry }
+
+// QuotaError reports a job that is larger than the whole quota of its team.
+type QuotaError struct {
+	Team  team.Name
+	Quota Size
+}
+
+func (e *QuotaError) Error() string {
+	return fmt.Sprintf("the job is larger than the quota of team %s (%d cores, %d MB, %d accelerators; 0 means no limit)",
+		e.Team, e.Quota.Cores, e.Quota.Memory, e.Quota.Accelerators)
+}
+
+// Code implements failure.Coded.
+func (e *QuotaError) Code() failure.Code { return failure.CodeLimited }
+
+// Outcome implements failure.Coded.
+func (e *QuotaError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// UnreadyError reports a call before the state is loaded or while no configuration is in force.
+type UnreadyError struct{}
+
+func (e *UnreadyError) Error() string { return "the jobs are not loaded yet" }
+
+// Code implements failure.Coded.
+func (e *UnreadyError) Code() failure.Code { return failure.CodeUnready }
+
+// Outcome implements failure.Coded.
+func (e *UnreadyError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// RetryAfter implements failure.Delayed.
+func (e *UnreadyError) RetryAfter() time.Duration { return unreadyRetry }
+
+// PendingError reports a cancellation whose record was not confirmed in time.
+type PendingError struct {
+	ID    ID
+	Cause error
+}
+
+func (e *PendingError) Error() string {
+	return fmt.Sprintf("the cancellation of job %s is not confirmed yet: %v", e.ID, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *PendingError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Coded.
+func (e *PendingError) Code() failure.Code { return failure.CodePending }
+
+// Outcome implements failure.Coded.
+func (e *PendingError) Outcome() failure.Outcome { return failure.OutcomeUnknown }
+
+// LogError reports a call that was refused because the log took no record in time.
+type LogError struct {
+	Cause error
+}
+
+func (e *LogError) Error() string { return "the log took no record in time: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *LogError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Coded.
+func (e *LogError) Code() failure.Code { return failure.CodeOutage }
+
+// Outcome implements failure.Coded.
+func (e *LogError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// RetryAfter implements failure.Delayed.
+func (e *LogError) RetryAfter() time.Duration { return logRetry }
--- /dev/null
+++ b/job/evict.go
@@ -0,0 +1,113 @@
+package job
+
+import (
+	"cmp"
+	"slices"
+)
+
+// effort is how far a plan goes to make room.
+type effort int
+
+// Efforts, each of which includes the ones before.
+const (
+	effortCheckpoint effort = iota
+	effortThrottle
+	effortStop
+)
+
+// evict proposes to make room for an urgent job on the worker where the fewest attempts have to give
+// way, with the least effort that suffices.
+func (p *planner) evict(j Job, size Size) {
+	for e := effortCheckpoint; e <= effortStop; e++ {
+		var best *node
+		var least []Evict
+		for _, n := range p.nodes {
+			if n.reserved || !size.within(n.worker.capacity()) || p.excluded(n, j) {
+				continue
+			}
+			victims, ok := p.victims(n, size, e)
+			if ok && (best == nil || len(victims) < len(least)) {
+				best, least = n, victims
+			}
+		}
+		if best == nil {
+			continue
+		}
+		p.claim(best, j, size, least)
+		return
+	}
+}
+
+// claim proposes the evictions and keeps the worker for the urgent job.
+func (p *planner) claim(n *node, j Job, size Size, victims []Evict) {
+	n.reserved = true
+	p.used[j.Team] = p.used[j.Team].plus(size)
+	for _, v := range victims {
+		v.Urgent = j.ID
+		p.proposals = append(p.proposals, v)
+	}
+}
+
+// victims returns the evictions after which the size fits. Evictions that were accepted and have not
+// ended yet are part of the result's effect but not of the result.
+func (p *planner) victims(n *node, size Size, e effort) ([]Evict, bool) {
+	free := n.free
+	for _, j := range n.worker.Held {
+		if ev, ok := p.in.Evicted[j.attempt()]; ok && !ev.Refused && ev.Verb != VerbThrottle {
+			free = free.plus(j.Placement.Size)
+		}
+	}
+	var victims []Evict
+	for _, j := range candidates(n.worker.Held) {
+		if size.within(free) {
+			break
+		}
+		verb, gain := p.verb(j, e)
+		if verb == "" || !helps(size, free, gain) {
+			continue
+		}
+		free = free.plus(gain)
+		victims = append(victims, Evict{Attempt: j.attempt(), Verb: verb, Worker: n.worker.ID})
+	}
+	return victims, size.within(free)
+}
+
+// candidates returns the jobs that may give way, the one that loses the least progress first.
+func candidates(held []Job) []Job {
+	var list []Job
+	for _, j := range held {
+		if !j.Urgent {
+			list = append(list, j)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b Job) int { return cmp.Compare(b.Placement.Time, a.Placement.Time) })
+	return list
+}
+
+// helps reports whether a gain is of a resource that is short.
+func helps(size, free, gain Size) bool {
+	return (size.Cores > free.Cores && gain.Cores > 0) ||
+		(size.Memory > free.Memory && gain.Memory > 0) ||
+		(size.Accelerators > free.Accelerators && gain.Accelerators > 0)
+}
+
+// verb returns how a job may give way at an effort, and what that frees. An attempt is ended only if the
+// job has another one left: a job must not fail because an urgent one came.
+func (p *planner) verb(j Job, e effort) (Verb, Size) {
+	tried, before := p.in.Evicted[j.attempt()]
+	if before && !tried.Refused && tried.Verb != VerbThrottle {
+		return "", Size{}
+	}
+	again := j.Attempts < j.Limit
+	refused := before && tried.Refused
+	throttled := before && tried.Verb == VerbThrottle
+	switch {
+	case again && !refused && !throttled:
+		return VerbCheckpoint, j.Placement.Size
+	case e >= effortThrottle && !throttled && j.Status == StatusRunning:
+		return VerbThrottle, Size{Cores: j.Placement.Cores / 2}
+	case e >= effortStop && again:
+		return VerbStop, j.Placement.Size
+	}
+	return "", Size{}
+}
