--- a/job/evict.go
+++ b/job/evict.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"hibiscuslane.example/hibiscuslane/team"
 )
 
 // effort is how far a plan goes to make room.
@@ -38,6 +40,47 @@
 	}
 }
 
+// yield makes room for an urgent job in the quota of its team: other jobs of the team give way.
+func (p *planner) yield(j Job, size, quota Size) {
+	used := p.used[j.Team]
+	var victims []Evict
+	for _, held := range p.team(j.Team) {
+		if used.plus(size).withinQuota(quota) {
+			break
+		}
+		e, tried := p.in.Evicted[held.attempt()]
+		if tried && !e.Refused && e.Verb != VerbThrottle {
+			used = used.minus(held.Placement.Size)
+			continue
+		}
+		verb, gain := p.verb(held, effortStop)
+		if verb == VerbCheckpoint || verb == VerbStop {
+			used = used.minus(gain)
+			victims = append(victims, Evict{Attempt: held.attempt(), Verb: verb, Worker: held.Placement.Worker, Urgent: j.ID})
+		}
+	}
+	if !used.plus(size).withinQuota(quota) {
+		return
+	}
+	p.used[j.Team] = used.plus(size)
+	for _, v := range victims {
+		p.proposals = append(p.proposals, v)
+	}
+}
+
+// team returns the jobs of a team in the pool that may give way, the one that loses the least first.
+func (p *planner) team(name team.Name) []Job {
+	var held []Job
+	for _, n := range p.nodes {
+		for _, j := range n.worker.Held {
+			if j.Team == name {
+				held = append(held, j)
+			}
+		}
+	}
+	return candidates(held)
+}
+
 // claim proposes the evictions and keeps the worker for the urgent job.
 func (p *planner) claim(n *node, j Job, size Size, victims []Evict) {
 	n.reserved = true
--- a/job/input.go
+++ b/job/input.go
@@ -48,7 +48,7 @@
 
 // usable reports whether new attempts may be placed on the worker.
 func (w Worker) usable() bool {
-	return w.Phase == instance.PhaseActive && !w.isolated() && w.Suspect == nil
+	return w.Phase == instance.PhaseActive && !w.isolated()
 }
 
 func (w Worker) isolated() bool {
--- a/job/plan.go
+++ b/job/plan.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/fleet"
+	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/team"
 )
 
@@ -26,6 +27,7 @@
 	p := newPlanner(in)
 	p.isolate()
 	p.release()
+	p.open()
 	urgent, rest := split(in.Queued)
 	p.place(urgent, true)
 	p.place(rest, false)
@@ -58,18 +60,25 @@
 	starved bool
 	// misfits holds sizes that were found to fit nowhere in this plan.
 	misfits []Size
+	// isolated holds the workers for which this plan proposes a quarantine.
+	isolated map[instance.ID]bool
 }
 
 func newPlanner(in Input) *planner {
-	p := &planner{in: in, usage: reportedUsage(in), used: map[team.Name]Size{}, local: map[team.Name]Size{}}
+	p := &planner{in: in, usage: reportedUsage(in), used: map[team.Name]Size{}, local: map[team.Name]Size{}, isolated: map[instance.ID]bool{}}
 	for name, size := range in.Used {
 		p.used[name] = size
 	}
-	for _, w := range in.Workers {
+	return p
+}
+
+// open collects the workers on which attempts may be placed.
+func (p *planner) open() {
+	for _, w := range p.in.Workers {
 		for _, j := range w.Held {
 			p.local[j.Team] = p.local[j.Team].plus(j.Placement.Size)
 		}
-		if !w.usable() {
+		if !w.usable() || p.isolated[w.ID] {
 			continue
 		}
 		capacity := w.capacity()
@@ -78,28 +87,27 @@
 			Cores: max(p.largest.Cores, capacity.Cores), Memory: max(p.largest.Memory, capacity.Memory),
 			Accelerators: max(p.largest.Accelerators, capacity.Accelerators),
 		}
-		p.nodes = append(p.nodes, newNode(w, in.Evicted))
+		p.nodes = append(p.nodes, newNode(w, p.in.Evicted))
 	}
-	return p
 }
 
 func (p *planner) propose(body Body) { p.proposals = append(p.proposals, Record{Body: body}) }
 
 // isolate proposes to put suspect workers in quarantine.
 func (p *planner) isolate() {
-	isolated, active := 0, 0
+	isolated := 0
 	for _, w := range p.in.Workers {
 		if w.isolated() {
 			isolated++
 		}
-		active++
 	}
-	most := max(1, int(isolatedShare*float64(active)))
+	most := max(1, int(isolatedShare*float64(len(p.in.Workers))))
 	for _, w := range p.in.Workers {
 		if w.Suspect == nil || w.isolated() || isolated >= most {
 			continue
 		}
 		isolated++
+		p.isolated[w.ID] = true
 		p.propose(w.Suspect)
 	}
 }
@@ -162,6 +170,9 @@
 		size := correct(j.Spec, p.usage[j.class()], p.largest)
 		quota := Quota(p.in.Teams[j.Team])
 		if !p.used[j.Team].plus(size).withinQuota(quota) {
+			if urgent {
+				p.yield(j, size, quota)
+			}
 			continue
 		}
 		if n := p.choose(j, size); n != nil {
--- a/job/runner.go
+++ b/job/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -23,6 +24,11 @@
 	period = 250 * time.Millisecond
 	// pace is the least time between two rounds, so that each append is planned from once.
 	pace = 25 * time.Millisecond
+	// pauseRatio and pauseLimit bound the part of the time that rounds take.
+	pauseRatio = 4
+	pauseLimit = 400 * time.Millisecond
+	// standbyPeriod is the time between two plans of a pool that another entry should plan.
+	standbyPeriod = time.Second
 	// rankDelay is the wait per rank before an entry places a job that one of lower rank should place.
 	rankDelay = 2 * time.Second
 	// proposeTimeout bounds the wait for the verdict on a record.
@@ -59,7 +65,6 @@
 type Fleet interface {
 	Members(name pool.Name, kind instance.Kind) []fleet.Instance
 	Instance(id instance.ID) (fleet.Instance, bool)
-	All() []fleet.Instance
 }
 
 // Runner places jobs and runs the tasks of the workers for which this entry has the lowest rank. All
@@ -81,46 +86,60 @@
 
 	gate   gate
 	paused bool
-	turns  turns
+	pools  map[pool.Name]*poolTurn
 	shards shards
 	slots  *semaphore.Weighted
 	tasks  sync.WaitGroup
 }
 
+// poolTurn is what is kept between the plans of one pool.
+type poolTurn struct {
+	turns   turns
+	planned time.Time
+}
+
 // Run works until ctx ends, and returns once all its calls have ended.
 func (r *Runner) Run(ctx context.Context) error {
+	r.slots = semaphore.NewWeighted(workerLimit)
+	r.pools = map[pool.Name]*poolTurn{}
 	defer r.tasks.Wait()
+	// Plans wait for the log, and must not delay the renewal of leases.
+	r.tasks.Go(func() {
+		r.repeat(ctx, func() {
+			if !r.openSince().IsZero() {
+				r.plan(ctx)
+			}
+		})
+	})
+	r.repeat(ctx, func() {
+		r.report(!r.openSince().IsZero())
+		r.work(ctx)
+	})
+	return ctx.Err()
+}
+
+// repeat calls do each period and after each change of the state, until ctx ends. It leaves pauses in
+// proportion to the time that do takes, so that long queues do not use up the processor.
+func (r *Runner) repeat(ctx context.Context, do func()) {
 	ticks := r.Timer.Every(period)
 	defer ticks.Stop()
 	for {
 		changed := r.State.Changed()
-		r.round(ctx)
-		if err := r.Timer.Sleep(ctx, pace); err != nil {
-			return err
+		from := r.Timer.Now()
+		do()
+		pause := min(max(pace, pauseRatio*r.Timer.Since(from)), pauseLimit)
+		if r.Timer.Sleep(ctx, pause) != nil {
+			return
 		}
 		select {
 		case <-ctx.Done():
-			return ctx.Err()
+			return
 		case <-ticks.C():
 		case <-changed:
 		}
 	}
 }
 
-// round starts the work on the workers of this entry, which ends in the background, and then plans.
-func (r *Runner) round(ctx context.Context) {
-	if r.slots == nil {
-		r.slots = semaphore.NewWeighted(workerLimit)
-	}
-	open := r.openSince()
-	r.report(!open.IsZero())
-	r.work(ctx)
-	if open.IsZero() {
-		return
-	}
-	r.plan(ctx)
-}
-
 // openSince returns since when the state is recent, or zero if it is not.
 func (r *Runner) openSince() time.Time {
 	return r.gate.open(r.Timer.Now(), r.Follower.Contact(), r.Follower.Current())
@@ -141,18 +160,13 @@
 // plan carries out the plans of all pools whose turn it is.
 func (r *Runner) plan(ctx context.Context) {
 	planned := r.Timer.Now()
-	var due []Proposal
-	keys := map[string]bool{}
-	for _, name := range r.pools() {
-		delay := time.Duration(r.Ranker.Rank("jobs/"+string(name))) * rankDelay
-		for _, p := range Plan(r.input(name)) {
-			keys[p.Decision()] = true
-			if r.turns.due(p.Decision(), planned, delay) {
-				due = append(due, p)
-			}
-		}
+	active := map[pool.Name]bool{}
+	due := r.strays(planned)
+	for _, name := range r.activePools() {
+		active[name] = true
+		due = append(due, r.planPool(name, planned)...)
 	}
-	r.turns.keep(keys)
+	maps.DeleteFunc(r.pools, func(name pool.Name, _ *poolTurn) bool { return !active[name] })
 	var group errgroup.Group
 	group.SetLimit(proposeLimit)
 	for _, p := range due {
@@ -167,8 +181,44 @@
 	_ = group.Wait()
 }
 
-// pools returns the pools that have queued jobs, suspects or quarantined workers.
-func (r *Runner) pools() []pool.Name {
+// planPool returns the proposals for one pool whose turn it is.
+func (r *Runner) planPool(name pool.Name, now time.Time) []Proposal {
+	turn, ok := r.pools[name]
+	if !ok {
+		turn = &poolTurn{}
+		r.pools[name] = turn
+	}
+	rank := r.Ranker.Rank("jobs/" + string(name))
+	if rank > 0 && now.Sub(turn.planned) < standbyPeriod {
+		return nil
+	}
+	turn.planned = now
+	var due []Proposal
+	keys := map[string]bool{}
+	for _, p := range Plan(r.input(name)) {
+		keys[p.Decision()] = true
+		if turn.turns.due(p.Decision(), now, time.Duration(rank)*rankDelay) {
+			due = append(due, p)
+		}
+	}
+	turn.turns.keep(keys)
+	return due
+}
+
+// strays returns the proposals to end quarantines of workers that are no longer in the fleet.
+func (r *Runner) strays(now time.Time) []Proposal {
+	var due []Proposal
+	for _, q := range r.State.Quarantined() {
+		_, known := r.Fleet.Instance(q.Worker)
+		if !known && now.Sub(q.Time.Std()) >= quarantineTime && r.Ranker.Rank("worker/"+string(q.Worker)) == 0 {
+			due = append(due, Record{Body: &Restore{Worker: q.Worker, Since: q.Since, Reason: "the worker has left the fleet"}})
+		}
+	}
+	return due
+}
+
+// activePools returns the pools that have queued jobs, suspects or quarantined workers.
+func (r *Runner) activePools() []pool.Name {
 	pools := r.State.Pools()
 	seen := make(map[pool.Name]bool, len(pools))
 	for _, name := range pools {
