--- a/entry/entry.go
+++ b/entry/entry.go
@@ -19,6 +19,7 @@
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/job"
 	"hibiscuslane.example/hibiscuslane/member"
 	"hibiscuslane.example/hibiscuslane/metric"
 	"hibiscuslane.example/hibiscuslane/peer"
@@ -65,6 +66,7 @@
 	config *config.State
 	fleet  *fleet.State
 	claims *claim.State
+	jobs   *job.State
 
 	table     *route.Table
 	transport *target.Transport
@@ -134,7 +136,7 @@
 		settings: s, timer: o.Timer, events: o.Events.With("entry", s.ID),
 		self:     record.Writer{Entry: s.ID, Incarnation: incarnation},
 		platform: &platform.Client{Base: s.Platform.Base, HTTP: newPlatformHTTP()},
-		config:   &config.State{}, fleet: &fleet.State{}, claims: &claim.State{},
+		config:   &config.State{}, fleet: &fleet.State{}, claims: &claim.State{}, jobs: &job.State{},
 	}
 	e.group = &member.Group{
 		Self: s.ID, Directory: e.platform, Clients: &e.clients, Timer: e.timer, Events: e.events, Status: e.report,
@@ -170,6 +172,7 @@
 		record.StreamConfig: newChannel(record.StreamConfig, e.config, parts),
 		record.StreamFleet:  newChannel(record.StreamFleet, e.fleet, parts),
 		record.StreamClaim:  newChannel(record.StreamClaim, e.claims, parts),
+		record.StreamJob:    newChannel(record.StreamJob, e.jobs, parts),
 	}
 }
 
@@ -194,7 +197,7 @@
 	s := &sender{table: e.table, transport: e.transport, capacity: c, entries: func() int { return len(e.group.Live()) }}
 	e.handler = request.New(request.Parts{
 		Settings: e.siteSettings, Ready: func() bool { return e.unready() == nil }, Claimer: e.claimer,
-		Allocator: e.slots, Router: s, Sender: s,
+		Allocator: e.slots, Router: s, Sender: s, Reserved: e.newJobHandler(),
 		Timer: e.timer, Events: e.events,
 	})
 }
@@ -264,6 +267,7 @@
 	start(e.claimer.Run)
 	start(e.followTargets)
 	start(e.newPlanner().Run)
+	start(e.newJobs().Run)
 	start(func(ctx context.Context) error { return e.table.Run(ctx, e.transport) })
 	start(e.watchReadiness)
 	e.events.Info(eventStarted, "incarnation", e.self.Incarnation, "callers", e.listeners.callers.Addr(),
--- /dev/null
+++ b/entry/jobs.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/job"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/team"
+)
+
+// teams returns the teams in force at the site of this entry.
+func (e *Entry) teams() map[team.Name]team.Spec {
+	settings := e.siteSettings()
+	if settings == nil {
+		return nil
+	}
+	return settings.Teams
+}
+
+func (e *Entry) newJobs() *job.Runner {
+	jobs := e.channels[record.StreamJob]
+	http := newPlatformHTTP()
+	return &job.Runner{
+		State: e.jobs, Fleet: e.fleet, Proposer: jobs.proposer, Follower: jobs.follower, Ranker: e.group,
+		Teams:  e.teams,
+		Dial:   func(address instance.Address) platform.Worker { return &platform.WorkerClient{Address: address, HTTP: http} },
+		Timer:  e.timer,
+		Events: e.events,
+		Author: record.Author(e.self.Entry),
+	}
+}
+
+func (e *Entry) newJobHandler() *job.Handler {
+	return job.NewHandler(job.Parts{
+		State: e.jobs, Proposer: e.channels[record.StreamJob].proposer, Settings: e.siteSettings,
+		Ready: func() bool { return e.unready() == nil }, Timer: e.timer, Author: record.Author(e.self.Entry),
+	})
+}
