Bound log answers and check fleet files

Clients refuse answers above 64 MiB, and 500 records of 1 MiB would pass that bound, after which a follower could never read on. An answer now holds at most 8 MiB, or one record.

--- a/standin/appendlog/log.go
+++ b/standin/appendlog/log.go
@@ -21,6 +21,9 @@
 const (
 	DefaultMax = 500
 	maxWait    = 30 * time.Second
+	// maxBytes bounds the records of one answer, because clients refuse answers above 64 MiB. One
+	// record is always returned.
+	maxBytes = 8 << 20
 )
 
 // Retention bounds what each stream keeps.
@@ -278,8 +281,14 @@
 		return platform.Batch{}, nil, &platform.ExpiredError{Call: call}
 	}
 	batch := platform.Batch{First: s.first, Next: s.next(), Records: []platform.Stored{}}
+	size := 0
 	for offset := from; offset < s.next() && len(batch.Records) < limit; offset++ {
-		batch.Records = append(batch.Records, platform.Stored{Offset: offset, Body: s.records[offset-s.first].body})
+		body := s.records[offset-s.first].body
+		size += len(body)
+		if size > maxBytes && len(batch.Records) > 0 {
+			break
+		}
+		batch.Records = append(batch.Records, platform.Stored{Offset: offset, Body: body})
 	}
 	return batch, s.changed, nil
 }
--- a/standin/appendlog/log_test.go
+++ b/standin/appendlog/log_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -144,3 +145,17 @@
 	_, err = client.Append(ctx, "a", records(`0`))
 	require.NoError(t, err)
 }
+
+// TestAnswerSize guards against an answer that clients refuse for its size, which would stop a
+// follower for good.
+func TestAnswerSize(t *testing.T) {
+	log, client, _ := start(t, appendlog.Retention{})
+	large := `"` + strings.Repeat("x", 5<<20) + `"`
+	for range 2 {
+		_, err := log.Append(ctx, "a", records(large))
+		require.NoError(t, err)
+	}
+	batch, err := client.Read(ctx, "a", 0, 10, 0)
+	require.NoError(t, err)
+	require.Len(t, batch.Records, 1)
+}
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -117,3 +119,28 @@
 	_, err = c.List(ctx)
 	require.True(t, platform.IsRefused(err, platform.RefusedDown))
 }
+
+// TestLoad guards against a mistake in a fleet file that starts another fleet than meant.
+func TestLoad(t *testing.T) {
+	cases := map[string]string{
+		`{"site":[]}`:      "unknown field",
+		`{"sites":[{}]}`:   "sites[0].centre is empty",
+		`{"rack":-1}`:      "must not be negative",
+		`{"port":65000}`:   "out of range",
+		`{"entries":[{}]}`: "entries[0] lacks an id",
+		`{"sites":[{"centre":"a"},{"centre":"a"}]}`:       "sites[1].centre is empty or used twice",
+		`{"sites":[{"centre":"a","targets":-1}]}`:         "negative number of machines",
+		`{"sites":[{"centre":"a","targets":3000}]}`:       "more than 2000",
+		`{"sites":[{"centre":"a","targets":1}],"rack":4}`: "",
+	}
+	for content, reason := range cases {
+		path := filepath.Join(t.TempDir(), "fleet.json")
+		require.NoError(t, os.WriteFile(path, []byte(content), 0o600))
+		_, err := emulator.Load(path)
+		if reason == "" {
+			require.NoError(t, err)
+			continue
+		}
+		require.ErrorContains(t, err, reason)
+	}
+}
--- a/standin/emulator/fault.go
+++ b/standin/emulator/fault.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"sync"
 
+	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/site"
 	"hibiscuslane.example/hibiscuslane/standin/appendlog"
 	"hibiscuslane.example/hibiscuslane/standin/directory"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
+	"hibiscuslane.example/hibiscuslane/standin/socket"
 )
 
 // Change switches faults. Absent parts and absent switches stay as they are.
@@ -123,6 +125,10 @@
 	if err == nil {
 		changed, err = e.Apply(r.Context(), c)
 	}
+	if socket.IsListenError(err) {
+		failure.Write(w, "", err)
+		return
+	}
 	if err != nil {
 		reply.Error(w, err)
 		return
--- a/standin/emulator/file.go
+++ b/standin/emulator/file.go
@@ -74,11 +74,13 @@
 // maxMachines bounds the machines of one process, so that a typing error does not exhaust its sockets.
 const maxMachines = 2000
 
+const maxPort = 65535 - maxMachines
+
 // Load reads a fleet from a JSON file. Unknown fields are refused.
 func Load(path string) (Fleet, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
-		return Fleet{}, err
+		return Fleet{}, reply.Invalid(path, err.Error())
 	}
 	var fleet Fleet
 	if err := reply.Strict(path, data, &fleet); err != nil {
@@ -88,6 +90,12 @@
 }
 
 func (f Fleet) check(path string) error {
+	if f.negative() {
+		return reply.Invalid(path, "numbers must not be negative")
+	}
+	if f.Port > maxPort {
+		return reply.Invalid(path, "port is out of range")
+	}
 	seen := map[site.DataCentre]bool{}
 	machines := 0
 	for i, s := range f.Sites {
@@ -113,6 +121,13 @@
 	return nil
 }
 
+// negative reports whether a number outside the sites is negative.
+func (f Fleet) negative() bool {
+	return min(f.Platform.Lag, f.Platform.Restart, f.Platform.Age, f.Worker.Lag) < 0 ||
+		min(f.Platform.Records, f.Rack, f.Port, f.Target.Slots, f.Target.Connections) < 0 ||
+		min(f.Worker.Cores, f.Worker.Memory, f.Worker.Accelerators) < 0
+}
+
 func (f Fleet) rackOf(centre site.DataCentre, kind instance.Kind, index int) site.Rack {
 	size := f.Rack
 	if size <= 0 {
--- a/standin/machine/machine.go
+++ b/standin/machine/machine.go
@@ -98,6 +98,9 @@
 // ID returns the id of the machine.
 func (m *Machine) ID() instance.ID { return m.options.Listing.ID }
 
+// Address returns the address of the machine.
+func (m *Machine) Address() instance.Address { return m.Listing().Address }
+
 // Listing returns the present state, without the lag of the platform's list.
 func (m *Machine) Listing() platform.Listing {
 	m.mu.Lock()
--- a/standin/socket/listener.go
+++ b/standin/socket/listener.go
@@ -61,7 +61,11 @@
 
 func open(address string) (net.Listener, error) {
 	var config net.ListenConfig
-	return config.Listen(context.Background(), "tcp", address)
+	inner, err := config.Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, &ListenError{Address: address, Cause: err}
+	}
+	return inner, nil
 }
 
 // Serve serves HTTP on the listener until Close.
