--- a/standin/socket/listener.go
+++ b/standin/socket/listener.go
@@ -118,7 +118,8 @@
 func (l *Listener) register(raw net.Conn) *Conn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.stopped {
+	// The connection may have been accepted just before the listener was closed.
+	if l.stopped || l.off {
 		return nil
 	}
 	conn := &Conn{Conn: raw, listener: l, excess: l.limit > 0 && l.deliveringLocked() >= l.limit}
