standin demo: the main job in one command

Cause: an operator who tries the project needs one command that shows it working and fails when an outcome is wrong.

Conclusion: go run ./standin demo exits 0.

--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -48,6 +48,9 @@
 	done chan error
 }
 
+// wait returns the result of Run.
+func (n *node) wait() error { return <-n.done }
+
 func startCluster(t *testing.T, entries int, options standin.Options) *cluster {
 	t.Helper()
 	server, err := standin.Start(options)
@@ -91,7 +94,10 @@
 	var wait sync.WaitGroup
 	for _, n := range c.entries {
 		n.stop()
-		wait.Go(func() { <-n.done })
+		wait.Go(func() {
+			// The verdict on a stop is checked where a test stops an entry itself.
+			_ = n.wait()
+		})
 	}
 	wait.Wait()
 	for _, machine := range c.targets {
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -22,8 +22,10 @@
 	http := newPlatformHTTP()
 	return &job.Runner{
 		State: e.jobs, Fleet: e.fleet, Proposer: jobs.proposer, Follower: jobs.follower, Ranker: e.group,
-		Teams:  e.teams,
-		Dial:   func(address instance.Address) platform.Worker { return &platform.WorkerClient{Address: address, HTTP: http} },
+		Teams: e.teams,
+		Dial: func(address instance.Address) platform.Worker {
+			return &platform.WorkerClient{Address: address, HTTP: http}
+		},
 		Timer:  e.timer,
 		Events: e.events,
 		Author: record.Author(e.self.Entry),
--- /dev/null
+++ b/examples/examples.go
@@ -0,0 +1,9 @@
+// Package examples embeds the example fleets, so that the demo runs from the program alone.
+package examples
+
+import "embed"
+
+// Files holds the example fleet in the directory small.
+//
+//go:embed small
+var Files embed.FS
--- a/standin/cmd/root.go
+++ b/standin/cmd/root.go
@@ -26,6 +26,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newServe())
+	root.AddCommand(newServe(), newDemo())
 	return root
 }
