--- a/request/chain_test.go
+++ b/request/chain_test.go
@@ -193,9 +193,12 @@
 func TestCrowded(t *testing.T) {
 	run(t, func(f *fixture) {
 		finish := make(chan struct{})
-		f.target.acquire = func(context.Context) error {
-			<-finish
-			return nil
+		f.target.acquire = func(ctx context.Context) error {
+			select {
+			case <-finish:
+			case <-ctx.Done():
+			}
+			return ctx.Err()
 		}
 		var group sync.WaitGroup
 		for range 32 {
