request: a response cut by the deadline gives 504

A response that broke off because the deadline passed had the code broken and status 502. docs/callers.md promises 504 with code deadline, by which a caller can tell its own timeout from a failed target. TestRetries now checks the status of each case.

--- a/request/chain_test.go
+++ b/request/chain_test.go
@@ -85,17 +85,19 @@
 		method, path string
 		errs         []error
 		sends        int
+		status       int
 		outcome      failure.Outcome
 	}{
-		"post refused":            {"POST", "/b", []error{refused, nil}, 2, failure.OutcomeAnswered},
-		"post broken":             {"POST", "/b", []error{broken, nil}, 1, failure.OutcomeUnknown},
-		"post uncoded":            {"POST", "/b", []error{io.EOF, nil}, 1, failure.OutcomeUnknown},
-		"post with foreign codes": {"POST", "/b", []error{&platform.CallError{Call: "send", Cause: io.EOF}, nil}, 1, failure.OutcomeUnknown},
-		"get broken":              {"GET", "/b", []error{broken, nil}, 2, failure.OutcomeAnswered},
-		"put of idempotent route": {"PUT", "/a/x", []error{broken, nil}, 2, failure.OutcomeAnswered},
-		"put of other route":      {"PUT", "/ab", []error{broken, nil}, 1, failure.OutcomeUnknown},
-		"get broken then refused": {"GET", "/b", []error{broken, refused}, 2, failure.OutcomeUnknown},
-		"get refused twice":       {"GET", "/b", []error{refused, refused}, 2, failure.OutcomeNotRun},
+		"post refused":            {"POST", "/b", []error{refused, nil}, 2, 201, failure.OutcomeAnswered},
+		"post broken":             {"POST", "/b", []error{broken, nil}, 1, 502, failure.OutcomeUnknown},
+		"post uncoded":            {"POST", "/b", []error{io.EOF, nil}, 1, 502, failure.OutcomeUnknown},
+		"post with foreign codes": {"POST", "/b", []error{&platform.CallError{Call: "send", Cause: io.EOF}, nil}, 1, 502, failure.OutcomeUnknown},
+		"post past its deadline":  {"POST", "/b", []error{&request.BrokenError{Cause: context.DeadlineExceeded}}, 1, 504, failure.OutcomeUnknown},
+		"get broken":              {"GET", "/b", []error{broken, nil}, 2, 201, failure.OutcomeAnswered},
+		"put of idempotent route": {"PUT", "/a/x", []error{broken, nil}, 2, 201, failure.OutcomeAnswered},
+		"put of other route":      {"PUT", "/ab", []error{broken, nil}, 1, 502, failure.OutcomeUnknown},
+		"get broken then refused": {"GET", "/b", []error{broken, refused}, 2, 502, failure.OutcomeUnknown},
+		"get refused twice":       {"GET", "/b", []error{refused, refused}, 2, 503, failure.OutcomeNotRun},
 	}
 	run(t, func(f *fixture) {
 		for name, test := range tests {
@@ -107,7 +109,7 @@
 			got := f.first.serve(call(test.method, test.path, ""))
 			assert.Equal(f, test.outcome, got.outcome, name)
 			assert.Equal(f, test.sends, sends, name)
-			assert.Equal(f, test.outcome == failure.OutcomeUnknown, got.status == http.StatusBadGateway, name)
+			assert.Equal(f, test.status, got.status, name)
 		}
 	})
 }
--- a/request/error.go
+++ b/request/error.go
@@ -194,7 +194,12 @@
 func (e *BrokenError) Unwrap() error { return e.Cause }
 
 // Code implements failure.Coded.
-func (e *BrokenError) Code() failure.Code { return failure.CodeBroken }
+func (e *BrokenError) Code() failure.Code {
+	if errors.Is(e.Cause, context.DeadlineExceeded) {
+		return failure.CodeDeadline
+	}
+	return failure.CodeBroken
+}
 
 // Outcome implements failure.Coded.
 func (e *BrokenError) Outcome() failure.Outcome { return failure.OutcomeUnknown }
