request, retry: one retry logic, with a budget per pool

Cause: request and retry each decided about retries and each kept a request from being reported as notrun after an unknown try; request's decision had no budget, so an outage of the targets could multiply the load.

Change: the request chain uses retry.Policies. The error after an earlier unknown try is retry.EarlierError with code pending, so that an unknown outcome never comes with a status that invites a repeat.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -26,6 +26,7 @@
 	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/request"
+	"hibiscuslane.example/hibiscuslane/retry"
 	"hibiscuslane.example/hibiscuslane/route"
 	"hibiscuslane.example/hibiscuslane/settings"
 	"hibiscuslane.example/hibiscuslane/site"
@@ -197,7 +198,7 @@
 	s := &sender{table: e.table, transport: e.transport, capacity: c, entries: func() int { return len(e.group.Live()) }}
 	e.handler = request.New(request.Parts{
 		Settings: e.siteSettings, Ready: func() bool { return e.unready() == nil }, Claimer: e.claimer,
-		Allocator: e.slots, Router: s, Sender: s, Reserved: e.newJobHandler(),
+		Allocator: e.slots, Router: s, Sender: s, Reserved: e.newJobHandler(), Retrier: &retry.Policies{Timer: e.timer, Events: e.events},
 		Timer: e.timer, Events: e.events,
 	})
 }
--- a/request/error.go
+++ b/request/error.go
@@ -161,24 +161,6 @@
 	return errors.As(err, &try)
 }
 
-// EarlierError reports a request that failed as notrun after an earlier try with an unknown outcome.
-type EarlierError struct {
-	Cause error
-}
-
-func (e *EarlierError) Error() string {
-	return "an earlier try may have been executed: " + e.Cause.Error()
-}
-
-// Unwrap returns the cause.
-func (e *EarlierError) Unwrap() error { return e.Cause }
-
-// Code implements failure.Coded.
-func (e *EarlierError) Code() failure.Code { return failure.CodePending }
-
-// Outcome implements failure.Coded.
-func (e *EarlierError) Outcome() failure.Outcome { return failure.OutcomeUnknown }
-
 // BrokenError reports a response that ended early.
 type BrokenError struct {
 	// Bytes of the body arrived.
--- a/request/fixture_test.go
+++ b/request/fixture_test.go
@@ -19,6 +19,7 @@
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/request"
+	"hibiscuslane.example/hibiscuslane/retry"
 	"hibiscuslane.example/hibiscuslane/slot"
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/team"
@@ -170,13 +171,18 @@
 	return t.released
 }
 
-// twice is a Retrier that allows a second try.
-type twice struct{}
+// twice is a Retrier that allows a second try after a millisecond.
+type twice struct{ policy *retry.Policy }
 
-func (twice) Retry(_ *request.Request, tries int, _ error) (time.Duration, bool) {
-	return time.Millisecond, tries < 2
+func newTwice(service *timer.Service) twice {
+	return twice{&retry.Policy{
+		Budget: &retry.Budget{Fraction: 1, Floor: 1000, Timer: service},
+		Base:   time.Millisecond, Max: time.Millisecond, Tries: 2, Timer: service,
+	}}
 }
 
+func (t twice) Policy(pool.Name) *retry.Policy { return t.policy }
+
 // entry is one entry instance.
 type entry struct {
 	claimer *claim.Claimer
@@ -203,7 +209,7 @@
 	}
 	handler := request.New(request.Parts{
 		Settings: func() *config.Settings { return settings }, Ready: func() bool { return true },
-		Claimer: claimer, Allocator: t, Router: t, Sender: t, Retrier: twice{}, Timer: service,
+		Claimer: claimer, Allocator: t, Router: t, Sender: t, Retrier: newTwice(service), Timer: service,
 	})
 	return &entry{claimer: claimer, handler: handler, kill: func() {
 		cancel()
--- a/request/handler.go
+++ b/request/handler.go
@@ -9,6 +9,7 @@
 	kithttp "github.com/go-kit/kit/transport/http"
 
 	"hibiscuslane.example/hibiscuslane/event"
+	"hibiscuslane.example/hibiscuslane/retry"
 	"hibiscuslane.example/hibiscuslane/slot"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
@@ -21,7 +22,7 @@
 	Allocator slot.Allocator
 	Router    Router
 	Sender    Sender
-	// Retrier may be nil, which stands for Once.
+	// Retrier may be nil, which stands for one try.
 	Retrier Retrier
 	// Reserved serves the paths under the reserved prefix. It may be nil.
 	Reserved http.Handler
@@ -50,7 +51,7 @@
 // Chain returns the endpoint that takes a *Request and returns a *Response.
 func Chain(parts Parts) endpoint.Endpoint {
 	if parts.Retrier == nil {
-		parts.Retrier = Once{}
+		parts.Retrier = &retry.Policies{Tries: 1, Timer: parts.Timer}
 	}
 	return endpoint.Chain(
 		identify(parts.Settings, parts.Timer),
--- a/request/request.go
+++ b/request/request.go
@@ -9,6 +9,7 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/retry"
 	"hibiscuslane.example/hibiscuslane/slot"
 	"hibiscuslane.example/hibiscuslane/team"
 )
@@ -91,10 +92,9 @@
 	Report(target Target, err error)
 }
 
-// Retrier decides whether a try is followed by another one.
+// Retrier holds the retry policy of each pool; *retry.Policies implements it.
 type Retrier interface {
-	// Retry returns the delay before the next try. Tries counts those made so far.
-	Retry(request *Request, tries int, cause error) (delay time.Duration, ok bool)
+	Policy(name pool.Name) *retry.Policy
 }
 
 // Source returns the configuration in force, or nil before one is known. The result is not modified.
--- a/retry/policy.go
+++ b/retry/policy.go
@@ -162,7 +162,7 @@
 func (e *EarlierError) Unwrap() error { return e.Cause }
 
 // Code implements failure.Coded.
-func (e *EarlierError) Code() failure.Code { return failure.Of(e.Cause).Code() }
+func (e *EarlierError) Code() failure.Code { return failure.CodePending }
 
 // Outcome implements failure.Coded.
 func (e *EarlierError) Outcome() failure.Outcome { return failure.OutcomeUnknown }
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -25,11 +25,20 @@
 	lose    int
 	down    bool
 	changed chan struct{}
+	// tries counts the appends, refused ones included.
+	tries int
+}
+
+func (l *memoryLog) appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.tries
 }
 
 func (l *memoryLog) Append(_ context.Context, _ record.Stream, records []json.RawMessage) (record.Offset, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.tries++
 	if l.down {
 		return 0, &platform.RefusedError{Refusal: platform.RefusedDown}
 	}
@@ -149,7 +158,7 @@
 		_, err := p.Propose(first, "count", "test", struct{}{})
 		tried <- err
 	}()
-	require.Eventually(t, func() bool { return p.Appender.Waiting() == 0 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return log.appends() > 0 }, 5*time.Second, time.Millisecond)
 	ended, end := context.WithCancel(ctx)
 	end()
 	_, err := p.Propose(ended, "count", "test", struct{}{})
