request: no zero-length timers in the test log

Cause: one of about 25 runs of the request tests crashed with SIGSEGV in runtime.(*timer).maybeRunChan, under the race detector inside a synctest bubble, at the select of the test log's Read. Since followers read with wait 0 until the head is reached, the fixture made timers of zero length.

Ruled out: a race or nil pointer of ours; the stack is the runtime's timer code called from a select.

Conclusion: the fixture makes no timer when it need not wait. No assertion changed.

--- a/request/fixture_test.go
+++ b/request/fixture_test.go
@@ -71,11 +71,16 @@
 }
 
 func (l *memoryLog) Read(ctx context.Context, _ record.Stream, from record.Offset, _ int, wait time.Duration) (platform.Batch, error) {
-	var service timer.Service
-	expired := service.After(wait)
+	// A nil channel never expires. A timer of zero length is avoided, because selecting on it inside a
+	// synctest bubble with the race detector can crash the Go runtime (seen with Go 1.26.8).
+	var expired <-chan time.Time
+	if wait > 0 {
+		var service timer.Service
+		expired = service.After(wait)
+	}
 	for {
 		batch, changed := l.batch(from)
-		if len(batch.Records) > 0 {
+		if len(batch.Records) > 0 || wait <= 0 {
 			return batch, nil
 		}
 		select {
