--- a/target/dead_linux_test.go
+++ b/target/dead_linux_test.go
@@ -87,6 +87,31 @@
 	}
 }
 
+// TestSlowService guards against service times that are taken for dead connections: a request that must
+// not be repeated is never given up, an idempotent one at most once until the target is known as slow.
+func TestSlowService(t *testing.T) {
+	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			<-time.After(500 * time.Millisecond)
+		}
+		echo(w, r)
+	}))
+	send := func(transport *target.Transport, uri string, idempotent bool) error {
+		r := request(address, "r", http.MethodPost, uri)
+		r.Idempotent = idempotent
+		_, err := transport.Send(testContext(t, 10*time.Second), r)
+		return err
+	}
+	for _, idempotent := range []bool{false, true} {
+		transport := &target.Transport{Limits: target.Limits{Suspect: 20 * time.Millisecond, Silence: 100 * time.Millisecond}}
+		require.NoError(t, send(transport, "/", idempotent))
+		require.Equal(t, idempotent, target.IsDead(send(transport, "/slow", idempotent)))
+		for range 3 {
+			require.NoError(t, send(transport, "/slow", idempotent), "idempotent=%t", idempotent)
+		}
+	}
+}
+
 // BenchmarkDeadConnections measures each way; docs/retries.md cites the figures.
 func BenchmarkDeadConnections(b *testing.B) {
 	for _, packets := range []bool{false, true} {
--- a/target/limits.go
+++ b/target/limits.go
@@ -8,7 +8,7 @@
 	// refusalBytes bounds the body of a refusal that is read to keep the connection usable.
 	refusalBytes = 4 << 10
 	// patienceFactor multiplies the silence limit of requests that must not be tried again. Giving
-	// them up turns a slow response into an unknown outcome, so they get more time.
+	// them up turns a slow response into an unknown outcome, so they hold a connection longer.
 	patienceFactor = 4
 	// slowFactor multiplies the slowest recent first byte of a target in the silence limit, so that a
 	// target with long service times does not have its connections taken for dead.
@@ -39,8 +39,8 @@
 	// Suspect is the silence after a request at which older idle connections are closed and a new
 	// connection is opened; default 500 ms. A negative value turns this and Silence off.
 	Suspect time.Duration
-	// Silence is the least silence after which a request on a reused connection is given up, provided
-	// that a newer connection was established; default 3 s.
+	// Silence is the least silence after which an idempotent request on a reused connection is given up,
+	// provided that a newer connection was established; default 3 s.
 	Silence time.Duration
 	// Progress is the longest wait for more of a response body; default 10 s.
 	Progress time.Duration
--- a/target/target.go
+++ b/target/target.go
@@ -30,8 +30,8 @@
 	// Header is copied without hop-by-hop headers.
 	Header http.Header
 	Body   []byte
-	// Idempotent requests are given up earlier on a connection that is probably dead, because another
-	// try is allowed.
+	// Idempotent requests are given up on a connection that is probably dead, because another try is
+	// allowed.
 	Idempotent bool
 	// Connections bounds the open connections from this entry to the target; at least 1.
 	Connections int
--- a/target/transport.go
+++ b/target/transport.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -112,6 +113,7 @@
 // fail discards the link and returns the typed error for the cause.
 func (e *exchange) fail(cause error) error {
 	try := Try{Target: e.request.Target, Fresh: e.link.fresh(), Written: e.link.conn.seal()}
+	intact := e.link.client.Err() == nil
 	e.host.discard(e.link)
 	ended := context.Cause(e.ctx)
 	e.cancel(nil)
@@ -125,6 +127,10 @@
 		silent := try.Written && e.link.conn.heard.Load() == 0 && e.transport.Timer.Since(e.started) >= e.patience
 		return &DeadlineError{Try: try, Silent: silent, Cause: ended}
 	}
+	if intact && !try.Written {
+		// net/http refused to write it, for example because of its method or a header.
+		return &InvalidError{Reason: "malformed request", Cause: cause}
+	}
 	return &BrokenError{Try: try, Cause: cause}
 }
 
@@ -192,6 +198,11 @@
 	if header == nil {
 		header = http.Header{}
 	}
+	for _, value := range header.Values("Connection") {
+		for name := range strings.SplitSeq(value, ",") {
+			header.Del(strings.TrimSpace(name))
+		}
+	}
 	for _, name := range hopHeaders {
 		header.Del(name)
 	}
--- a/target/transport_test.go
+++ b/target/transport_test.go
@@ -11,11 +11,13 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/route"
 	"hibiscuslane.example/hibiscuslane/target"
 )
 
@@ -93,6 +95,62 @@
 	require.Equal(t, failure.OutcomeNotRun, failure.Of(err).Outcome())
 }
 
+// TestInvalid guards against a malformed request that counts against the health of the target.
+func TestInvalid(t *testing.T) {
+	address := serve(t, http.HandlerFunc(echo))
+	changes := map[string]func(r *target.Request){
+		"method": func(r *target.Request) { r.Method = "a b" },
+		"header": func(r *target.Request) { r.Header.Set("Key", "a\r\nb") },
+		"uri":    func(r *target.Request) { r.URI = "relative" },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			r := request(address, "r", http.MethodPost, "/")
+			change(&r)
+			_, err := (&target.Transport{}).Send(testContext(t, 5*time.Second), r)
+			require.Equal(t, failure.CodeInvalid, failure.Of(err).Code())
+			require.Equal(t, failure.OutcomeNotRun, failure.Of(err).Outcome())
+			require.Equal(t, route.ResultNeutral, target.Health(err))
+		})
+	}
+}
+
+// TestConcurrent guards against responses that reach another request while others are cut off by their
+// deadlines, so that connections end in every state.
+func TestConcurrent(t *testing.T) {
+	hold := make(chan struct{})
+	address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Hold") != "" {
+			<-hold
+		}
+		echo(w, r)
+	}))
+	transport := &target.Transport{Limits: target.Limits{Wait: time.Minute}}
+	var group sync.WaitGroup
+	for i := range 400 {
+		group.Go(func() {
+			r := request(address, target.RequestID(strconv.Itoa(i)), http.MethodPost, "/")
+			r.Body = bytes.Repeat([]byte(r.ID), 1+i%5000)
+			r.Header.Set("Times", "1")
+			d := time.Minute
+			if i%10 == 0 {
+				r.Header.Set("Hold", "yes")
+				d = 20 * time.Millisecond
+			}
+			response, err := transport.Send(testContext(t, d), r)
+			if i%10 == 0 {
+				assert.Equal(t, failure.CodeDeadline, failure.Of(err).Code())
+				return
+			}
+			if assert.NoError(t, err) {
+				assert.Equal(t, r.Body, response.Body)
+			}
+		})
+	}
+	group.Wait()
+	close(hold)
+}
+
 // echo repeats the body as often as the header Times says.
 func echo(w http.ResponseWriter, r *http.Request) {
 	data, _ := io.ReadAll(r.Body)
--- a/target/watch.go
+++ b/target/watch.go
@@ -8,9 +8,8 @@
 // watch observes the wait for the first byte of a response. Silence alone does not prove that the
 // connection is dead, because service times vary, so it acts in two steps. After Limits.Suspect the
 // older idle connections are closed, which is harmless if the guess is wrong, and a new connection is
-// opened as a probe. After Limits.Silence a request on a reused connection is given up, if a newer
-// connection to the target was established meanwhile or the share is used up. The returned function
-// ends the watch.
+// opened as a probe. After Limits.Silence a request on a reused connection is given up if replaceable
+// allows it. The returned function ends the watch.
 func (e *exchange) watch() func() {
 	t := e.transport
 	limits := t.limits()
@@ -55,13 +54,16 @@
 	t.probe(e.ctx, h, e.request.Connections)
 }
 
-// replaceable reports whether a newer connection shows that the target can be reached, or the share
-// leaves no room to find out.
+// replaceable reports whether the request may be given up. An idempotent one is, if a newer connection
+// shows that the target can be reached; the next try uses that connection, where no silence limit
+// applies, so that a slow response is repeated once at most. Any other request would end as unknown,
+// with nothing gained, unless its connection is needed because the share is used up.
 func (e *exchange) replaceable() bool {
 	h := e.host
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.newest.After(e.started) || h.open >= max(e.request.Connections, 1)
+	full := h.open >= max(e.request.Connections, 1)
+	return full || (e.request.Idempotent && h.newest.After(e.started))
 }
 
 // probe opens a connection within the share and leaves it idle for the next request. It does nothing
