scenario: scripted sessions with the real programs

Scripts in testscript's language run hibiscuslane and standin as separate processes. Until now the whole path was only tested inside one process, which exercises neither signals nor the command line. The main scenario has a golden transcript: check, publish, requests, a keyed request repeated through other entries, a job, a lost race of two operators, audit, status and a graceful stop.

testscript has commands kill, stop and wait of its own that take precedence, so the commands here are sigkill, shutdown and pause. Admissions are left out of the transcript, because it depends on timing which entry admits which instance. Ports are below the range of outgoing connections, because a machine that is off frees its port.

--- /dev/null
+++ b/scenario/scenario_test.go
@@ -0,0 +1,88 @@
+// Package scenario runs scripted sessions against the real programs as separate processes. The scripts
+// are in testdata; README.md there describes their language.
+package scenario
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+const (
+	// maxParallel bounds the scripts that run at once. Each has up to four processes and some hundred
+	// connections.
+	maxParallel = 4
+	// patience bounds waits for an effect. No verdict depends on how much of it is used.
+	patience = 40 * time.Second
+	poll     = 20 * time.Millisecond
+	// buildLimit bounds the build of both programs.
+	buildLimit = 3 * time.Minute
+)
+
+// programs is the directory of the two programs.
+var programs string
+
+// turns holds one token per script that runs.
+var turns = make(chan struct{}, maxParallel)
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "scenario")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "no directory for the programs:", err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	ctx, cancel := context.WithTimeout(context.Background(), buildLimit)
+	defer cancel()
+	build := exec.CommandContext(ctx, "go", "build", "-o", dir, ".", "./standin")
+	build.Dir = ".."
+	if output, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build failed: %v\n%s", err, output)
+		return 1
+	}
+	programs = dir
+	return m.Run()
+}
+
+// play runs one script of testdata.
+func play(t *testing.T, name string) {
+	t.Helper()
+	t.Parallel()
+	turns <- struct{}{}
+	fleet, err := filepath.Abs(filepath.Join("testdata", "fleet.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := filepath.Abs(filepath.Join("..", "examples", "small", "config"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The token is returned after the script, which runs as a parallel subtest, has ended.
+	t.Cleanup(func() { <-turns })
+	testscript.Run(t, testscript.Params{
+		Files: []string{filepath.Join("testdata", name+".txtar")},
+		Cmds:  commands,
+		Setup: func(env *testscript.Env) error {
+			env.Setenv("FLEET", fleet)
+			env.Setenv("CONFIG", config)
+			w := newWorld(t, env.WorkDir, config)
+			env.Values[worldKey{}] = w
+			env.Defer(w.close)
+			return nil
+		},
+	})
+}
+
+// TestSession guards against a main path whose output changes unnoticed, against operators who
+// overwrite each other, and against a stop that cuts requests off.
+func TestSession(t *testing.T) { play(t, "session") }
