Measure a loss of state in a burst; test that idle hosts are forgotten

Cause: the figures so far covered requests between bursts only, and the reference counts of hosts had no test.

Ruled out: keepalive without TCP_USER_TIMEOUT as the only kernel mechanism; its detection varies by seconds between runs.

--- a/target/conn_test.go
+++ b/target/conn_test.go
@@ -1,12 +1,55 @@
 package target
 
 import (
+	"bytes"
+	"context"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/platform"
 )
 
+// TestHostsForgotten guards against state that grows with every address ever used, whichever way a
+// request ends.
+func TestHostsForgotten(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(platform.HeaderRequest, r.Header.Get(platform.HeaderRequest))
+		if r.URL.Path != "/small" {
+			_, _ = w.Write(bytes.Repeat([]byte("x"), 3<<20))
+		}
+		if r.URL.Path == "/break" {
+			panic(http.ErrAbortHandler)
+		}
+	}))
+	defer server.Close()
+	transport := &Transport{Limits: Limits{Idle: 10 * time.Millisecond}}
+	r := Request{ID: "r", Method: http.MethodGet, Connections: 2}
+	send := func(address, uri string) (*Response, error) {
+		r.Address, r.URI = instance.Address(address), uri
+		return transport.Send(context.Background(), r)
+	}
+	_, err := send("127.0.0.1:1", "/small")
+	require.True(t, IsUnreachable(err))
+	for _, uri := range []string{"/small", "/large", "/break", "/small"} {
+		response, err := send(server.Listener.Addr().String(), uri)
+		require.NoError(t, err)
+		if response.Stream != nil {
+			require.NoError(t, response.Stream.Close())
+		}
+	}
+	require.Eventually(t, func() bool {
+		transport.mu.Lock()
+		defer transport.mu.Unlock()
+		return len(transport.hosts) == 0
+	}, 5*time.Second, time.Millisecond)
+}
+
 // TestSeal guards against a proof of "nothing written" that a write in progress could still refute.
 func TestSeal(t *testing.T) {
 	near, far := net.Pipe()
--- a/target/dead_linux_test.go
+++ b/target/dead_linux_test.go
@@ -4,12 +4,14 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/route"
 	"hibiscuslane.example/hibiscuslane/target"
 )
 
@@ -82,6 +84,7 @@
 				detected := packets || way.name == "silence"
 				require.Equal(t, detected, target.IsDead(err), "%v after %s", err, waited)
 				require.Equal(t, failure.OutcomeUnknown, failure.Of(err).Outcome())
+				require.Equal(t, route.ResultNeutral, target.Health(err))
 			})
 		}
 	}
@@ -133,6 +136,54 @@
 	}
 }
 
+// BenchmarkLossInBurst measures a loss of state while 4 callers send idempotent requests one after the
+// other, each with a deadline of 5 s, on 8 connections.
+func BenchmarkLossInBurst(b *testing.B) {
+	const callers, each = 4, 200
+	for _, packets := range []bool{false, true} {
+		for _, way := range []way{ways[0], ways[len(ways)-1]} {
+			b.Run(fmt.Sprintf("packets=%t/%s", packets, way.name), func(b *testing.B) {
+				box, address := newMiddlebox(b, serve(b, http.HandlerFunc(echo)), packets)
+				transport := &target.Transport{Limits: way.limits}
+				r := request(address, "r", http.MethodGet, "/")
+				r.Idempotent = true
+				var lost, sent atomic.Int64
+				var recovery atomic.Int64
+				var lose sync.Once
+				var lossAt time.Time
+				send := func() {
+					_, err := transport.Send(testContext(b, deadline), r)
+					if err != nil {
+						lost.Add(1)
+						recovery.Store(int64(time.Since(lossAt)))
+					}
+				}
+				var group sync.WaitGroup
+				for range connections * 4 {
+					group.Go(send)
+				}
+				group.Wait()
+				for range callers {
+					group.Go(func() {
+						for range each {
+							if sent.Add(1) == callers*each/4 {
+								lose.Do(func() {
+									lossAt = time.Now()
+									box.Lose(b)
+								})
+							}
+							send()
+						}
+					})
+				}
+				group.Wait()
+				b.ReportMetric(float64(lost.Load()), "lost")
+				b.ReportMetric(time.Duration(recovery.Load()).Seconds(), "s-recovery")
+			})
+		}
+	}
+}
+
 // waitOnDead sends a request on a connection that has just lost its state, and
 // returns how long it waited.
 func waitOnDead(t testing.TB, limits target.Limits, packets, idempotent bool, deadline time.Duration) (time.Duration, error) {
