Do not report a caller's deadline as an unreachable target

Cause: net.Dialer times out by itself at the deadline of its context, just before the context ends. Such a try was reported as unreachable and counted against the health of the target.

Done: the dialer does not see the deadline, only the end of the context.

Ruled out: comparing the time with the deadline after the failure; it leaves a manual timer's deadline to be taken for one of the system clock.

Conclusion: only a dial that fails by itself, or after Limits.Dial, counts against a target.

--- a/target/conn.go
+++ b/target/conn.go
@@ -94,13 +94,21 @@
 
 type holderKey struct{}
 
+// undated hides the deadline of a context, but not its end. net.Dialer would time out on its own at the
+// deadline, just before the context ends, and the deadline of a caller would look like a target that
+// cannot be reached. It would also take the deadline of a manual timer for one of the system clock.
+type undated struct{ context.Context }
+
+// Deadline implements context.Context.
+func (undated) Deadline() (time.Time, bool) { return time.Time{}, false }
+
 // dial opens a connection. It is bounded by Limits.Dial and by ctx.
 func (t *Transport) dial(ctx context.Context, address instance.Address) (*link, error) {
 	established := t.Timer.Now()
 	ctx, cancel := t.Timer.WithTimeout(ctx, t.limits().Dial)
 	defer cancel()
 	var dialled *conn
-	ctx = context.WithValue(ctx, holderKey{}, &dialled)
+	ctx = context.WithValue(undated{ctx}, holderKey{}, &dialled)
 	client, err := t.base().NewClientConn(ctx, "http", string(address))
 	if err != nil {
 		return nil, err
