job: tests with emulated workers, and four faults that they found

Faults found and fixed: - failures for lack of memory counted against the worker, so jobs declared 2000 times too small put the only worker of a pool in quarantine; they now only raise the estimate of the class; - the only worker of a pool could go to quarantine; - a job whose checkpoint was refused was throttled although that was not enough, instead of stopped; - two urgent jobs over a quota made the same attempt give way twice.

--- a/job/error.go
+++ b/job/error.go
@@ -183,3 +183,18 @@
 
 // RetryAfter implements failure.Delayed.
 func (e *LogError) RetryAfter() time.Duration { return logRetry }
+
+// SilenceError reports that the log has not answered for some time.
+type SilenceError struct {
+	Silence time.Duration
+}
+
+func (e *SilenceError) Error() string {
+	return fmt.Sprintf("no answer for %v", e.Silence.Round(time.Millisecond))
+}
+
+// Code implements failure.Coded.
+func (e *SilenceError) Code() failure.Code { return failure.CodeOutage }
+
+// Outcome implements failure.Coded.
+func (e *SilenceError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
--- a/job/evict.go
+++ b/job/evict.go
@@ -48,6 +48,9 @@
 		if used.plus(size).withinQuota(quota) {
 			break
 		}
+		if p.chosen[held.attempt()] {
+			continue
+		}
 		e, tried := p.in.Evicted[held.attempt()]
 		if tried && !e.Refused && e.Verb != VerbThrottle {
 			used = used.minus(held.Placement.Size)
@@ -63,9 +66,7 @@
 		return
 	}
 	p.used[j.Team] = used.plus(size)
-	for _, v := range victims {
-		p.proposals = append(p.proposals, v)
-	}
+	p.order(victims)
 }
 
 // team returns the jobs of a team in the pool that may give way, the one that loses the least first.
@@ -85,8 +86,15 @@
 func (p *planner) claim(n *node, j Job, size Size, victims []Evict) {
 	n.reserved = true
 	p.used[j.Team] = p.used[j.Team].plus(size)
+	for i := range victims {
+		victims[i].Urgent = j.ID
+	}
+	p.order(victims)
+}
+
+func (p *planner) order(victims []Evict) {
 	for _, v := range victims {
-		v.Urgent = j.ID
+		p.chosen[v.Attempt] = true
 		p.proposals = append(p.proposals, v)
 	}
 }
@@ -138,7 +146,7 @@
 // job has another one left: a job must not fail because an urgent one came.
 func (p *planner) verb(j Job, e effort) (Verb, Size) {
 	tried, before := p.in.Evicted[j.attempt()]
-	if before && !tried.Refused && tried.Verb != VerbThrottle {
+	if p.chosen[j.attempt()] || (before && !tried.Refused && tried.Verb != VerbThrottle) {
 		return "", Size{}
 	}
 	again := j.Attempts < j.Limit
@@ -147,10 +155,10 @@
 	switch {
 	case again && !refused && !throttled:
 		return VerbCheckpoint, j.Placement.Size
-	case e >= effortThrottle && !throttled && j.Status == StatusRunning:
-		return VerbThrottle, Size{Cores: j.Placement.Cores / 2}
 	case e >= effortStop && again:
 		return VerbStop, j.Placement.Size
+	case e >= effortThrottle && !throttled && j.Status == StatusRunning:
+		return VerbThrottle, Size{Cores: j.Placement.Cores / 2}
 	}
 	return "", Size{}
 }
--- a/job/evidence.go
+++ b/job/evidence.go
@@ -185,6 +185,11 @@
 }
 
 func (e *evidence) fail(at position, j *Job, b *Finish) {
+	if b.Reason == memoryReason {
+		// This tells that the reserved size was too small, and nothing about the worker.
+		e.class(at, j.class()).raise(0, memoryGrowth*float64(max(b.Memory, j.Placement.Memory)))
+		return
+	}
 	w := e.worker(at, j.Placement.Worker, j.Placement.Incarnation)
 	if w.Incarnation == j.Placement.Incarnation {
 		w.Trials = append(w.Trials, trial{Job: j.ID, Class: j.class()})
@@ -194,10 +199,6 @@
 	if !slices.Contains(c.Failed, j.Placement.Worker) && len(c.Failed) < maxTrials {
 		c.Failed = append(c.Failed, j.Placement.Worker)
 	}
-	if b.Reason == memoryReason {
-		c.raise(0, memoryGrowth*float64(max(b.Memory, j.Placement.Memory)))
-		return
-	}
 	// A task that fails early has not reached its full usage, so the report can only raise the estimate.
 	c.raise(b.Cores, float64(b.Memory))
 }
@@ -271,7 +272,7 @@
 func (e *evidence) neverRuns(j *Job) bool {
 	workers := map[instance.ID]bool{}
 	for _, f := range j.Failures {
-		if f.Quick && e.good(f, j.class()) {
+		if f.Quick && f.Reason != memoryReason && e.good(f, j.class()) {
 			workers[f.Worker] = true
 		}
 	}
--- a/job/fixture_test.go
+++ b/job/fixture_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -34,6 +35,8 @@
 	// settle is the real time that each step leaves to goroutines. Results depend on conditions, and
 	// the steps only bound how long the manual time runs on before they hold.
 	settle = 2 * time.Millisecond
+	// callSettles bounds the wait for calls to workers, whose timeouts run on the manual time.
+	callSettles = 50
 )
 
 // world is emulated workers, one log and any number of entries on a manual clock.
@@ -48,8 +51,8 @@
 	entries map[instance.ID]*entry
 	owner   instance.ID
 	mu      sync.Mutex
-	version map[instance.ID]fleet.Version
 	offset  record.Offset
+	calls   atomic.Int64
 }
 
 // plainLog gives the emulated log a context of the standard library. Err of a clockwork context blocks
@@ -76,15 +79,15 @@
 	handler  *Handler
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
-	// wrap may replace the interface of workers.
-	wrap func(platform.Worker) platform.Worker
+	// wrap may replace the interface of the worker at an address.
+	wrap func(instance.Address, platform.Worker) platform.Worker
 }
 
 func newWorld(t *testing.T, workers int) *world {
 	w := &world{
 		t: t, manual: timer.NewManual(start), fleet: &fleet.State{}, workers: map[instance.ID]*worker.Worker{},
 		saved: &worker.Checkpoints{}, teams: map[team.Name]team.Spec{"red": {Weight: 1}, "blue": {Weight: 1}},
-		entries: map[instance.ID]*entry{}, owner: "entry-1", version: map[instance.ID]fleet.Version{},
+		entries: map[instance.ID]*entry{}, owner: "entry-1",
 	}
 	w.log = appendlog.New(appendlog.Retention{}, &w.manual.Service)
 	t.Cleanup(w.log.Close)
@@ -98,7 +101,7 @@
 	id := instance.ID(fmt.Sprint("worker-", n))
 	centre, rackName := site.DataCentre(fmt.Sprint("c", n%3)), site.Rack(fmt.Sprint("r", n/4))
 	emulated, err := worker.Start(worker.Options{
-		ID: id, Timer: &w.manual.Service, Checkpoints: w.saved,
+		ID: id, Timer: &w.manual.Service, Checkpoints: w.saved, Lag: 500 * time.Millisecond,
 		Listing: platform.Listing{Centre: centre, Rack: rackName, Accelerators: 2},
 	})
 	require.NoError(w.t, err)
@@ -119,11 +122,14 @@
 	w.offset++
 }
 
+// everyone makes each entry believe that it has the lowest rank.
+const everyone instance.ID = "everyone"
+
 // Rank implements Ranker for an entry: the owner has the lowest rank for everything.
 func (e *entry) Rank(string) int {
 	e.world.mu.Lock()
 	defer e.world.mu.Unlock()
-	if e.id == e.world.owner {
+	if e.id == e.world.owner || e.world.owner == everyone {
 		return 0
 	}
 	return 1
@@ -149,7 +155,7 @@
 		Teams: func() map[team.Name]team.Spec { return w.teams }, Dial: e.dial, Author: record.Author(id),
 	}
 	e.handler = NewHandler(Parts{
-		State: e.state, Proposer: e.proposer, Ready: e.follower.Current, Timer: service, Author: record.Author(id),
+		State: e.state, Proposer: e.proposer, Follower: e.follower, Ready: e.follower.Current, Timer: service, Author: record.Author(id),
 		Settings: func() *config.Settings {
 			return &config.Settings{Pools: map[pool.Name]pool.Spec{"p": {}}, Teams: w.teams}
 		},
@@ -164,20 +170,69 @@
 
 func (e *entry) stop() {
 	e.cancel()
-	e.done.Wait()
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		e.done.Wait()
+	}()
+	e.world.until(time.Minute, "stop of "+string(e.id), func() bool {
+		select {
+		case <-stopped:
+			return true
+		default:
+			return false
+		}
+	})
 }
 
 func (e *entry) dial(address instance.Address) platform.Worker {
-	var client platform.Worker = &platform.WorkerClient{Address: address}
+	var client platform.Worker = &filter{Worker: &platform.WorkerClient{Address: address}, around: e.world.count}
 	e.world.mu.Lock()
 	defer e.world.mu.Unlock()
 	if e.wrap != nil {
-		client = e.wrap(client)
+		client = e.wrap(address, client)
 	}
 	return client
 }
 
-func (e *entry) setWrap(wrap func(platform.Worker) platform.Worker) {
+// filter passes each call through around.
+type filter struct {
+	platform.Worker
+	around func(call string, do func() error) error
+}
+
+func (f *filter) Start(ctx context.Context, task platform.Task) error {
+	return f.around("start", func() error { return f.Worker.Start(ctx, task) })
+}
+
+func (f *filter) Renew(ctx context.Context, task platform.TaskID, epoch platform.Epoch, lease time.Duration) error {
+	return f.around("renew", func() error { return f.Worker.Renew(ctx, task, epoch, lease) })
+}
+
+func (f *filter) Stop(ctx context.Context, task platform.TaskID, epoch platform.Epoch) error {
+	return f.around("stop", func() error { return f.Worker.Stop(ctx, task, epoch) })
+}
+
+func (f *filter) Checkpoint(ctx context.Context, task platform.TaskID, epoch platform.Epoch) error {
+	return f.around("checkpoint", func() error { return f.Worker.Checkpoint(ctx, task, epoch) })
+}
+
+func (f *filter) Tasks(ctx context.Context) (tasks []platform.TaskStatus, err error) {
+	err = f.around("tasks", func() error {
+		tasks, err = f.Worker.Tasks(ctx)
+		return err
+	})
+	return tasks, err
+}
+
+// count counts the calls in progress, for which the manual time waits.
+func (w *world) count(_ string, do func() error) error {
+	w.calls.Add(1)
+	defer w.calls.Add(-1)
+	return do()
+}
+
+func (e *entry) setWrap(wrap func(instance.Address, platform.Worker) platform.Worker) {
 	e.world.mu.Lock()
 	defer e.world.mu.Unlock()
 	e.wrap = wrap
@@ -201,6 +256,9 @@
 	// The real clock only yields to other goroutines here.
 	var real timer.Service
 	_ = real.Sleep(context.Background(), settle)
+	for n := 0; n < callSettles && w.calls.Load() > 0; n++ {
+		_ = real.Sleep(context.Background(), settle)
+	}
 }
 
 func (w *world) pass(d time.Duration) {
--- a/job/handler.go
+++ b/job/handler.go
@@ -35,6 +35,7 @@
 type Parts struct {
 	State    *State
 	Proposer Proposer
+	Follower Follower
 	// Settings returns the configuration in force, or nil.
 	Settings func() *config.Settings
 	Ready    func() bool
@@ -109,6 +110,11 @@
 	if j, ok := h.State.Keyed(body.Team, body.Key); ok {
 		return same(j, body)
 	}
+	if silence := h.Timer.Since(h.Follower.Contact()); silence > contactLimit {
+		// An append that is tried and fails may still take effect. Nothing has been tried yet, so the
+		// caller can be told that the job will not run.
+		return Answer{}, &LogError{Cause: &SilenceError{Silence: silence}}
+	}
 	err := h.propose(r.Context(), record.Author(body.Team), body)
 	if err != nil {
 		return h.refused(body, err)
--- a/job/plan.go
+++ b/job/plan.go
@@ -62,10 +62,12 @@
 	misfits []Size
 	// isolated holds the workers for which this plan proposes a quarantine.
 	isolated map[instance.ID]bool
+	// chosen holds the attempts that this plan makes give way.
+	chosen map[Attempt]bool
 }
 
 func newPlanner(in Input) *planner {
-	p := &planner{in: in, usage: reportedUsage(in), used: map[team.Name]Size{}, local: map[team.Name]Size{}, isolated: map[instance.ID]bool{}}
+	p := &planner{in: in, usage: reportedUsage(in), used: map[team.Name]Size{}, local: map[team.Name]Size{}, isolated: map[instance.ID]bool{}, chosen: map[Attempt]bool{}}
 	for name, size := range in.Used {
 		p.used[name] = size
 	}
@@ -101,7 +103,7 @@
 			isolated++
 		}
 	}
-	most := max(1, int(isolatedShare*float64(len(p.in.Workers))))
+	most := min(max(1, int(isolatedShare*float64(len(p.in.Workers)))), len(p.in.Workers)-1)
 	for _, w := range p.in.Workers {
 		if w.Suspect == nil || w.isolated() || isolated >= most {
 			continue
--- a/job/state_test.go
+++ b/job/state_test.go
@@ -269,6 +269,17 @@
 			h.fail("k", "a", "w1")
 			h.apply(place("j", 2, "w2"), finish("j", 2, platform.TaskDone), place("k", 2, "w2"), finish("k", 2, platform.TaskDone))
 		}, StatusDone, []instance.ID{"w1"}},
+		{"out of memory tells nothing about the worker or the job", func(h *fixture) {
+			h.busy("w1", "w2", "w3")
+			for n, w := range []instance.ID{"w1", "w2", "w3", "w1", "w1", "w1"} {
+				id := ID(fmt.Sprint("k", n))
+				h.apply(submit(id, string(id), 2), place(id, 1, w), &Finish{Attempt: Attempt{id, 1}, State: platform.TaskFailed, Reason: memoryReason})
+			}
+			h.apply(submit("j", "a", 9))
+			for n, w := range []instance.ID{"w1", "w2", "w3"} {
+				h.apply(place("j", Epoch(n+1), w), &Finish{Attempt: Attempt{"j", Epoch(n + 1)}, State: platform.TaskFailed, Reason: memoryReason})
+			}
+		}, StatusQueued, nil},
 		{"a success clears the worker", func(h *fixture) {
 			h.fail("j", "a", "w1")
 			h.fail("k", "b", "w1")
