--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,20 @@
 fuzz:
 	./.ci/fuzz
 
+# The benchmarks behind docs/CAPACITY.md. BenchmarkProcess, BenchmarkRequestPath and those of snapshots
+# have fixed counts, because they take long or measure over a fixed time. Packages run one at a time (-p 1),
+# so that they do not disturb each other.
+BENCH := go test -p 1 -run '^$$'
+bench:
+	@date; echo "cores: $$(nproc), load: $$(cut -d' ' -f1-3 /proc/loadavg)"
+	@out=$$(mktemp) && trap 'rm -f '$$out EXIT && { \
+	$(BENCH) -bench . -benchtime 100ms ./fleet ./config ./job ./claim ./planner ./member ./slot && \
+	$(BENCH) -bench . -benchtime 3x ./snapshot && \
+	$(BENCH) -bench 'Request$$' -benchtime 2000x ./request && \
+	$(BENCH) -bench RequestPath -benchtime 5000x ./entry && \
+	$(BENCH) -bench Process -benchtime 1x ./entry; } >$$out 2>&1 || { cat $$out; exit 1; }; .ci/slopes $$out
+	@date; echo "load: $$(cut -d' ' -f1-3 /proc/loadavg)"
+
 demo:
 	go run ./standin demo
 
--- /dev/null
+++ b/claim/bench_test.go
@@ -0,0 +1,85 @@
+package claim_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/claim"
+	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/stream"
+)
+
+// answerSize is the size in bytes of the recorded answer of a settled claim.
+const answerSize = 150
+
+func answer() *claim.Answer {
+	return &claim.Answer{Status: 200, Header: map[string]string{"Content-Type": "application/json"}, Body: make([]byte, answerSize)}
+}
+
+// settled returns a state with settled claims.
+func settled(b *testing.B, claims int) *history {
+	h := newHistory(b, claim.Limits{Claims: 2*claims + 1})
+	for n := range claims {
+		name := fmt.Sprintf("key-%032d", n)
+		id, result := h.claim("alpha-entry-1", name)
+		require.Equal(b, stream.ResultApplied, result)
+		_, verdict := h.add("alpha-entry-1", claim.KindOutcome, claim.Outcome{Key: key(name), Claim: id, Result: claim.ResultAnswered, Answer: answer()})
+		require.Equal(b, stream.Applied, verdict)
+	}
+	return h
+}
+
+// BenchmarkFold measures the fold of one record (claim or outcome) while old claims expire at the rate
+// of new ones, the bytes of state per claim, and the bytes of a record in the log.
+func BenchmarkFold(b *testing.B) {
+	for _, claims := range []int{1000, 10_000, 50_000} {
+		b.Run(fmt.Sprintf("claims=%d", claims), func(b *testing.B) {
+			before := heap()
+			h := settled(b, claims)
+			state := heap() - before
+			bytes := 0
+			records := make([]record.Envelope, b.N)
+			step := claim.Retention / time.Duration(claims)
+			for n := range records {
+				k := key(fmt.Sprintf("new-%032d", n/2))
+				sequence := record.Sequence(h.next) + record.Sequence(n) + 1
+				id := record.ID{Writer: record.Writer{Entry: "alpha-entry-1", Incarnation: 1}, Sequence: sequence}
+				e := record.Envelope{ID: id, Kind: claim.KindClaim, Time: start.Add(step * time.Duration(n/2)), Author: "alpha-entry-1"}
+				var body any = claim.Body{Key: k, Digest: "0123456789abcdef"}
+				if n%2 == 1 {
+					first := record.ID{Writer: id.Writer, Sequence: sequence - 1}
+					e.Kind, body = claim.KindOutcome, claim.Outcome{Key: k, Claim: first, Result: claim.ResultAnswered, Answer: answer()}
+				}
+				data, err := json.Marshal(body)
+				require.NoError(b, err)
+				e.Body = data
+				records[n] = e
+				stored, err := record.Encode(e)
+				require.NoError(b, err)
+				bytes += len(stored)
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for n, e := range records {
+				if v := h.state.Fold(h.next+record.Offset(n), e); v.Result != stream.ResultApplied {
+					b.Fatal(v)
+				}
+			}
+			b.ReportMetric(float64(state), "heap-B")
+			b.ReportMetric(float64(bytes)/float64(b.N), "record-B")
+		})
+	}
+}
+
+// heap returns the bytes of live objects.
+func heap() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- /dev/null
+++ b/config/bench_test.go
@@ -0,0 +1,98 @@
+package config_test
+
+import (
+	"bytes"
+	"fmt"
+	"runtime"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/config"
+	"hibiscuslane.example/hibiscuslane/record"
+)
+
+// shapes are numbers of pools and sites: today, intermediate sizes, and the target size.
+var shapes = []struct{ pools, sites int }{{5, 3}, {100, 3}, {290, 3}, {5, 14}, {100, 14}, {290, 14}}
+
+func publishAll(files []config.Content) []config.FileChange {
+	var changes []config.FileChange
+	for _, file := range files {
+		changes = append(changes, config.FileChange{Name: file.Name, Based: config.NoVersion, Content: file.Data})
+	}
+	return changes
+}
+
+// BenchmarkFold publishes a change of one pool, in the base file or in an overlay, and reports the bytes
+// of state and of the record. The bytes of state include the history of the publishes.
+func BenchmarkFold(b *testing.B) {
+	for _, shape := range shapes {
+		files := sized(shape.pools, shape.sites)
+		for _, bench := range []struct {
+			name        string
+			file        config.Content
+			old, format string
+		}{
+			{"base", files[0], `"queue":256`, `"queue":%d`},
+			{"overlay", files[1], `"budget":{"targets":2`, `"budget":{"targets":%d`},
+		} {
+			b.Run(fmt.Sprintf("%s/sites=%d/pools=%d", bench.name, shape.sites, shape.pools), func(b *testing.B) {
+				before := heap()
+				l := &log{}
+				l.publish("ada", publishAll(files)...)
+				state := heap() - before
+				based := l.Version()
+				size := 0
+				b.ReportAllocs()
+				for i := 0; b.Loop(); i++ {
+					content := bytes.Replace(bench.file.Data, []byte(bench.old), fmt.Appendf(nil, bench.format, i%2), 1)
+					size = len(content)
+					offset, verdict := l.publish("ada", config.FileChange{Name: bench.file.Name, Based: based, Content: content})
+					if verdict.Reason != "" {
+						b.Fatal(verdict.Reason)
+					}
+					based = offset
+				}
+				b.ReportMetric(float64(state), "heap-B")
+				b.ReportMetric(float64(size), "record-B")
+				runtime.KeepAlive(l)
+			})
+		}
+	}
+}
+
+// publishes is more than the history keeps.
+const publishes = 600
+
+// BenchmarkHistory reports the bytes of a snapshot before and after the publishes that the history
+// keeps, which are the least that each snapshot carries.
+func BenchmarkHistory(b *testing.B) {
+	for _, shape := range shapes {
+		b.Run(fmt.Sprintf("sites=%d/pools=%d", shape.sites, shape.pools), func(b *testing.B) {
+			for b.Loop() {
+			}
+			files := sized(shape.pools, shape.sites)
+			l := &log{}
+			l.publish("ada", publishAll(files)...)
+			fresh, err := l.Snapshot()
+			require.NoError(b, err)
+			for i, based := 0, record.Offset(0); i < publishes; i++ {
+				content := bytes.Replace(files[1].Data, []byte(`"budget":{"targets":2`), fmt.Appendf(nil, `"budget":{"targets":%d`, i%2), 1)
+				based, _ = l.publish("ada", config.FileChange{Name: files[1].Name, Based: based, Content: content})
+			}
+			full, err := l.Snapshot()
+			require.NoError(b, err)
+			b.ReportMetric(float64(len(fresh)), "fresh-B")
+			b.ReportMetric(float64(len(full)), "full-B")
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+// heap returns the bytes of live objects.
+func heap() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
--- a/config/check_test.go
+++ b/config/check_test.go
@@ -1,9 +1,7 @@
 package config_test
 
 import (
-	"bytes"
 	"encoding/json"
-	"fmt"
 	"testing"
 
 	jsonpatch "github.com/evanphx/json-patch/v5"
@@ -130,34 +128,3 @@
 		require.NotNil(t, merged["alpha"])
 	})
 }
-
-// BenchmarkFold publishes a change of one pool at the target size.
-func BenchmarkFold(b *testing.B) {
-	files := large()
-	var changes []config.FileChange
-	for _, file := range files {
-		changes = append(changes, config.FileChange{Name: file.Name, Based: config.NoVersion, Content: file.Data})
-	}
-	for _, bench := range []struct {
-		name        string
-		file        config.Content
-		old, format string
-	}{
-		{"base", files[0], `"queue":256`, `"queue":%d`},
-		{"overlay", files[1], `"budget":{"targets":2`, `"budget":{"targets":%d`},
-	} {
-		b.Run(bench.name, func(b *testing.B) {
-			l := &log{}
-			l.publish("ada", changes...)
-			based := l.Version()
-			for i := 0; b.Loop(); i++ {
-				content := bytes.Replace(bench.file.Data, []byte(bench.old), fmt.Appendf(nil, bench.format, i%2), 1)
-				offset, verdict := l.publish("ada", config.FileChange{Name: bench.file.Name, Based: based, Content: content})
-				if verdict.Reason != "" {
-					b.Fatal(verdict.Reason)
-				}
-				based = offset
-			}
-		})
-	}
-}
--- a/config/testing_test.go
+++ b/config/testing_test.go
@@ -76,11 +76,14 @@
 		`"spare":{"size":{"targets":1,"workers":1},"budget":{"targets":0,"workers":0}}}}`, size)
 }
 
-// large returns files of the target size: 14 sites, 290 pools with a route each, and 170 teams.
-func large() []config.Content {
+// large returns files of the target size.
+func large() []config.Content { return sized(290, 14) }
+
+// sized returns files with a number of sites, and of pools with a route each, and 170 teams.
+func sized(count, sites int) []config.Content {
 	pools, sizes, teams := map[string]any{}, map[string]any{}, map[string]any{}
 	var routes []config.Route
-	for i := range 290 {
+	for i := range count {
 		name := fmt.Sprintf("pool-%03d", i)
 		pools[name] = map[string]any{"slots": 8, "connections": 64, "queue": 256, "timeout": 10000, "spare": i == 0}
 		sizes[name] = map[string]any{"size": map[string]int{"targets": 3, "workers": 2}, "budget": map[string]int{"targets": 2, "workers": 1}}
@@ -91,7 +94,7 @@
 	}
 	base := map[string]any{"pools": pools, "teams": teams, "routes": routes, "weights": config.Weights{Buffer: 1}, "maintenance": config.Maintenance{}}
 	files := []config.Content{{Name: config.Base, Data: encode(base)}}
-	for i := range 14 {
+	for i := range sites {
 		name := config.File(fmt.Sprintf("site/site-%02d", i))
 		files = append(files, config.Content{Name: name, Data: encode(map[string]any{"region": "north", "pools": sizes})})
 	}
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -33,7 +33,7 @@
 
 // cluster is an emulated platform with targets and entries.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	platform *standin.Server
 	targets  []*target.Target
 	entries  []*node
@@ -48,7 +48,7 @@
 	done chan error
 }
 
-func startCluster(t *testing.T, entries int, options standin.Options) *cluster {
+func startCluster(t testing.TB, entries int, options standin.Options) *cluster {
 	t.Helper()
 	server, err := standin.Start(options)
 	require.NoError(t, err)
--- a/fleet/state_test.go
+++ b/fleet/state_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
-	"runtime"
 	"testing"
 	"time"
 
@@ -245,52 +243,3 @@
 		}
 	})
 }
-
-// poolSize is the mean number of workers in a pool at the target size: 6600 in 290 pools.
-const poolSize = 23
-
-// BenchmarkFold measures the fold of one record (drain or join) and the bytes of state per instance.
-func BenchmarkFold(b *testing.B) {
-	for _, size := range []int{100, 1000, 6600} {
-		b.Run(fmt.Sprint(size), func(b *testing.B) {
-			var before, after runtime.MemStats
-			runtime.GC()
-			runtime.ReadMemStats(&before)
-			s := filled(b, size)
-			runtime.GC()
-			runtime.ReadMemStats(&after)
-			offset := record.Offset(size)
-			snapshot, err := s.Snapshot()
-			require.NoError(b, err)
-			records := make([]record.Envelope, b.N)
-			for n := range records {
-				slot, round := n/2%size, n/2/size
-				id, name := instance.ID(fmt.Sprint("i", slot)), pool.Name(fmt.Sprint("p", slot/poolSize))
-				var body fleet.Body = &fleet.Drain{Subject: on(id, fleet.Version(2*round+1)), Next: name}
-				if n%2 == 1 {
-					body = join(id, fleet.Version(2*round+2), name, instance.Incarnation(round+2))
-				}
-				records[n] = envelope(b, offset+record.Offset(n), body)
-			}
-			b.ReportAllocs()
-			b.ResetTimer()
-			for n, e := range records {
-				if v := s.Fold(offset+record.Offset(n), e); v.Result != stream.ResultApplied {
-					b.Fatal(v)
-				}
-			}
-			b.ReportMetric(float64(len(snapshot))/float64(size), "snapshot-B/instance")
-			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(size), "heap-B/instance")
-		})
-	}
-}
-
-func filled(t require.TestingT, size int) *fleet.State {
-	s := &fleet.State{}
-	for n := range size {
-		body := admit(instance.ID(fmt.Sprint("i", n)), 0, "p0", 1)
-		body.Pool = pool.Name(fmt.Sprint("p", n/poolSize))
-		require.Equal(t, stream.Applied, s.Fold(record.Offset(n), envelope(t, record.Offset(n), body)))
-	}
-	return s
-}
--- a/job/state_test.go
+++ b/job/state_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"runtime"
 	"testing"
 	"time"
 
@@ -14,7 +13,6 @@
 	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
-	"hibiscuslane.example/hibiscuslane/team"
 )
 
 // fixture folds bodies at increasing offsets, a second apart.
@@ -382,38 +380,3 @@
 		require.Equal(t, h.state.Digest(), other.Digest())
 	})
 }
-
-// BenchmarkFold measures the fold of one record over whole jobs (submit, place, start, finish), and the
-// bytes of state per open job.
-func BenchmarkFold(b *testing.B) {
-	var before, after runtime.MemStats
-	runtime.GC()
-	runtime.ReadMemStats(&before)
-	const open = 10_000
-	h := &fixture{t: b, state: &State{}}
-	for n := range open {
-		h.apply(submit(ID(fmt.Sprintf("open-%032d", n)), "command of some length", 3))
-	}
-	runtime.GC()
-	runtime.ReadMemStats(&after)
-	snapshot, err := h.state.Snapshot()
-	require.NoError(b, err)
-	envelopes := make([]record.Envelope, b.N)
-	for n := range envelopes {
-		id := ID(fmt.Sprintf("job-%033d", n/4))
-		s := submit(id, "command of some length", 3)
-		s.Team = team.Name(fmt.Sprint("team-", n/4%170))
-		body := []Body{s, place(id, 1, instance.ID(fmt.Sprint("w", n/4%6600))), &Start{Attempt{id, 1}}, finish(id, 1, platform.TaskDone)}[n%4]
-		data, _ := json.Marshal(body)
-		envelopes[n] = record.Envelope{Kind: body.Kind(), Time: start, Body: data}
-	}
-	b.ReportAllocs()
-	b.ResetTimer()
-	for n, e := range envelopes {
-		if v := h.state.Fold(h.next+record.Offset(n), e); v.Result != stream.ResultApplied {
-			b.Fatal(v)
-		}
-	}
-	b.ReportMetric(float64(len(snapshot))/open, "snapshot-B/job")
-	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/open, "heap-B/job")
-}
--- /dev/null
+++ b/planner/bench_test.go
@@ -0,0 +1,101 @@
+package planner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/config"
+	"hibiscuslane.example/hibiscuslane/fleet"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/site"
+)
+
+const (
+	benchCentres = 14
+	// benchPool is the mean number of instances in a pool at the target size, and benchPools bounds the
+	// pools to those of the target size.
+	benchPool  = 23
+	benchPools = 290
+	// benchDays is the maintenance period of the target size.
+	benchDays = 21
+)
+
+// BenchmarkPlan measures one plan over the whole fleet, in which all instances are well, and in which
+// 1 % of them have been missing long enough to be lost. Both include the maintenance that is due.
+func BenchmarkPlan(b *testing.B) {
+	for _, missing := range []bool{false, true} {
+		for _, size := range []int{100, 1000, 6600, 20_000} {
+			b.Run(fmt.Sprintf("missing=%t/instances=%d", missing, size), func(b *testing.B) {
+				in := benchInput(size, missing)
+				b.ReportAllocs()
+				records := 0
+				for b.Loop() {
+					records = len(Plan(in))
+				}
+				b.ReportMetric(float64(records), "records")
+			})
+		}
+	}
+}
+
+// BenchmarkInput measures what a round does besides its plan: the record of who is on the list, the
+// instances missing from it, and the actions.
+func BenchmarkInput(b *testing.B) {
+	for _, size := range []int{100, 1000, 6600, 20_000} {
+		b.Run(fmt.Sprintf("instances=%d", size), func(b *testing.B) {
+			in := benchInput(size, false)
+			var p presence
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				p.add(in.Now.Add(time.Duration(n)*time.Second), in.List)
+				p.missing(in.Fleet)
+				Actions(in)
+			}
+		})
+	}
+}
+
+// benchInput spreads the instances evenly over pools, data centres and racks of four.
+func benchInput(size int, missing bool) Input {
+	in := Input{Now: epoch.Add(benchDays * day), Sites: map[site.Name]config.Settings{}, Missing: map[instance.ID]time.Duration{}}
+	pools := min(benchPools, max(1, size/benchPool))
+	for c := range benchCentres {
+		in.Sites[benchSite(c)] = config.Settings{
+			Pools:       map[pool.Name]pool.Spec{},
+			Maintenance: config.Maintenance{Days: benchDays, Rack: 1, Centre: 4, Pause: 1000},
+		}
+	}
+	for n := range size {
+		centre, name := n%benchCentres, pool.Name(fmt.Sprint("pool-", n/benchCentres%pools))
+		i := fleet.Instance{
+			ID: instance.ID(fmt.Sprintf("worker-%06d", n)), Kind: instance.KindWorker, Address: "127.0.0.1:1",
+			Centre: site.DataCentre(benchSite(centre)), Rack: site.Rack(fmt.Sprint("rack-", n/benchCentres/4)), Pool: name,
+			Phase: instance.PhaseActive, Incarnation: 1, Version: 1,
+			// Reboots are spread over the maintenance period, so that a steady part is due.
+			Joined: fleet.At(epoch.Add(time.Duration(n%benchDays) * day)),
+		}
+		i.Since = i.Joined
+		in.Fleet = append(in.Fleet, i)
+		in.List = append(in.List, platform.Listing{
+			ID: i.ID, Kind: i.Kind, Address: i.Address, Incarnation: 1, Centre: i.Centre, Rack: i.Rack, State: platform.StateLive,
+		})
+		if missing && n%100 == 0 {
+			in.Missing[i.ID] = 2 * silenceLimit
+		}
+		grow(in.Sites[benchSite(centre)].Pools, name)
+	}
+	return in
+}
+
+func benchSite(n int) site.Name { return site.Name(fmt.Sprintf("centre-%02d", n)) }
+
+// grow adds one worker to the size of a pool at a site.
+func grow(pools map[pool.Name]pool.Spec, name pool.Name) {
+	spec := pools[name]
+	spec.Size.Workers++
+	spec.Budget.Workers = spec.Size.Workers * 3 / 4
+	pools[name] = spec
+}
--- a/request/bench_test.go
+++ b/request/bench_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -19,11 +20,16 @@
 // BenchmarkRequest measures the allocations of the chain, and of its own request and recorder, for a
 // request without a key.
 func BenchmarkRequest(b *testing.B) {
-	e := newEntry(&memoryLog{}, &target{}, 1, nil)
-	defer e.kill()
-	b.ReportAllocs()
-	for b.Loop() {
-		e.handler.ServeHTTP(httptest.NewRecorder(), call(http.MethodPost, "/b", "body"))
+	for _, size := range []int{10, 1000, 100_000} {
+		b.Run(fmt.Sprintf("bytes=%d", size), func(b *testing.B) {
+			e := newEntry(&memoryLog{}, &target{}, 1, nil)
+			defer e.kill()
+			body := strings.Repeat("x", size)
+			b.ReportAllocs()
+			for b.Loop() {
+				e.handler.ServeHTTP(httptest.NewRecorder(), call(http.MethodPost, "/b", body))
+			}
+		})
 	}
 }
 
