--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -33,7 +33,7 @@
 
 // cluster is an emulated platform with targets and entries.
 type cluster struct {
-	t        *testing.T
+	t        testing.TB
 	platform *standin.Server
 	targets  []*target.Target
 	entries  []*node
@@ -48,10 +48,14 @@
 	done chan error
 }
 
+<<<<<<< HEAD
 // wait returns the result of Run.
 func (n *node) wait() error { return <-n.done }
 
 func startCluster(t *testing.T, entries int, options standin.Options) *cluster {
+=======
+func startCluster(t testing.TB, entries int, options standin.Options) *cluster {
+>>>>>>> capacity
 	t.Helper()
 	server, err := standin.Start(options)
 	require.NoError(t, err)
