--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -48,14 +48,10 @@
 	done chan error
 }
 
-<<<<<<< HEAD
 // wait returns the result of Run.
 func (n *node) wait() error { return <-n.done }
 
-func startCluster(t *testing.T, entries int, options standin.Options) *cluster {
-=======
 func startCluster(t testing.TB, entries int, options standin.Options) *cluster {
->>>>>>> capacity
 	t.Helper()
 	server, err := standin.Start(options)
 	require.NoError(t, err)
