stream, timer: one gate for old states, one delay by rank

Cause: planner and job each kept a gate that closes after a silence of the log or a freeze, and a delay of decisions by rank; the two gates differed only in that one also tells since when it is open.

Conclusion: the runner tests of the planner pass unchanged.

--- a/planner/runner.go
+++ b/planner/runner.go
@@ -16,6 +16,7 @@
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/site"
+	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
 
@@ -83,12 +84,12 @@
 	// Author is the id of the entry.
 	Author record.Author
 
-	gate      gate
+	gate      stream.Gate
 	paused    bool
 	presence  presence
 	demand    demand
-	proposals turns
-	actions   turns
+	proposals timer.Delays
+	actions   timer.Delays
 	mu        sync.Mutex
 	// tries holds the last try of each action that still follows from the state.
 	tries map[Action]try
@@ -117,7 +118,7 @@
 // round is one period. Actions are not subject to the gate: the platform refuses those that an old
 // state suggests, because they carry an incarnation that has ended.
 func (r *Runner) round(ctx context.Context) {
-	open := r.gate.open(r.Timer.Now(), r.Follower.Contact(), r.Follower.Current())
+	open := !r.gate.Open(r.Timer.Now(), r.Follower.Contact(), r.Follower.Current()).IsZero()
 	r.report(open)
 	if !r.refresh(ctx) {
 		return
@@ -183,15 +184,15 @@
 	for _, p := range proposals {
 		keys[p.Decision] = true
 	}
-	r.proposals.keep(keys)
+	r.proposals.Keep(keys)
 	var group errgroup.Group
 	group.SetLimit(callLimit)
 	for _, p := range proposals {
 		now := r.Timer.Now()
-		if now.Sub(planned) > gapLimit {
+		if now.Sub(planned) > stream.GapLimit {
 			break
 		}
-		if r.proposals.due(p.Decision, now, r.delay(p.Decision)) {
+		if r.proposals.Due(p.Decision, now, r.delay(p.Decision)) {
 			group.Go(func() error {
 				r.proposeOne(ctx, p)
 				return nil
@@ -225,13 +226,13 @@
 		keys[a.decision()] = true
 		wanted[a] = true
 	}
-	r.actions.keep(keys)
+	r.actions.Keep(keys)
 	r.forget(wanted)
 	var group errgroup.Group
 	group.SetLimit(callLimit)
 	now := r.Timer.Now()
 	for _, a := range actions {
-		if r.recent(a, now) || !r.actions.due(a.decision(), now, r.delay(a.decision())) {
+		if r.recent(a, now) || !r.actions.Due(a.decision(), now, r.delay(a.decision())) {
 			continue
 		}
 		if a.Verb == VerbReboot && !r.accepted(Action{Verb: VerbDrain, ID: a.ID, Incarnation: a.Incarnation}) {
