--- a/job/state_test.go
+++ b/job/state_test.go
@@ -22,6 +22,8 @@
 	t     require.TestingT
 	state *State
 	next  record.Offset
+	// quota bounds the cores of drawn placements.
+	quota int
 }
 
 func (h *fixture) fold(body Body) stream.Verdict {
@@ -52,9 +54,16 @@
 	return &Finish{Attempt: Attempt{id, epoch}, State: state, Reason: "exit 1"}
 }
 
-func drawBody(t *rapid.T) Body {
+// drawBody draws a record that often, but not always, fits the state.
+func (h *fixture) drawBody(t *rapid.T) Body {
 	id := ID(rapid.SampledFrom([]string{"a", "b", "c", "d", "e"}).Draw(t, "id"))
 	epoch := Epoch(rapid.IntRange(1, 4).Draw(t, "epoch"))
+	if j, ok := h.state.Job(id); ok && rapid.Bool().Draw(t, "fits") {
+		epoch = max(1, j.Epoch)
+		if j.Status == StatusQueued {
+			epoch = j.Epoch + 1
+		}
+	}
 	on := instance.ID(rapid.SampledFrom([]string{"w1", "w2", "w3", "w4"}).Draw(t, "worker"))
 	switch rapid.IntRange(0, 13).Draw(t, "kind") {
 	case 0, 1:
@@ -63,7 +72,7 @@
 		return s
 	case 2, 3, 4, 5:
 		p := place(id, epoch, on)
-		p.Quota.Cores = 8
+		p.Quota.Cores = h.quota
 		return p
 	case 6, 7:
 		return &Start{Attempt{id, epoch}}
@@ -140,11 +149,11 @@
 // that is exceeded, and a snapshot that loses state.
 func TestHistories(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := &fixture{t: t, state: &State{Limits: Limits{Ended: 3, Open: 4}}}
+		h := &fixture{t: t, state: &State{Limits: Limits{Ended: 3, Open: 4}}, quota: rapid.IntRange(1, 4).Draw(t, "quota") * 4}
 		o := &observed{placed: map[ID]int{}, live: map[ID]Epoch{}, taken: map[Attempt]bool{}, final: map[ID]Status{}, exists: map[ID]bool{}}
 		for range rapid.IntRange(0, 80).Draw(t, "records") {
 			digest := h.state.Digest()
-			body := drawBody(t)
+			body := h.drawBody(t)
 			verdict := h.fold(body)
 			require.NotEqual(t, stream.ResultInvalid, verdict.Result, verdict.Reason)
 			if verdict.Result == stream.ResultApplied {
@@ -152,7 +161,7 @@
 			} else {
 				require.Equal(t, digest, h.state.Digest(), "a record that is not applied changes nothing")
 			}
-			require.LessOrEqual(t, h.state.Used()["red"].Cores, 8, "the quota is exceeded")
+			require.LessOrEqual(t, h.state.Used()["red"].Cores, h.quota, "the quota is exceeded")
 			_, ended := h.state.Counts()
 			require.LessOrEqual(t, ended, 3)
 		}
@@ -169,7 +178,7 @@
 	require.NoError(t, err)
 	require.Equal(t, string(data), string(again))
 	for range 5 {
-		body := drawBody(t)
+		body := h.drawBody(t)
 		require.Equal(t, h.fold(body), other.fold(body))
 	}
 	require.Equal(t, h.state.Digest(), other.state.Digest(), "restored and folded states continue alike")
