--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -60,12 +60,12 @@
 	_, c, manual := start(t)
 	list, err := c.List(ctx)
 	require.NoError(t, err)
-	require.Len(t, list, 39)
-	const id = "husavik-worker-5"
+	require.Len(t, list, 33)
+	const id = "beta-worker-5"
 	before, _ := find(t, c, id)
 	require.Equal(t, platform.Listing{
-		ID: id, Kind: instance.KindWorker, Address: before.Address, Incarnation: 1, Centre: "husavik",
-		Rack: "husavik-worker-rack-2", State: platform.StateLive, Cores: 16, Memory: 65536,
+		ID: id, Kind: instance.KindWorker, Address: before.Address, Incarnation: 1, Centre: "beta",
+		Rack: "beta-worker-rack-2", State: platform.StateLive, Cores: 16, Memory: 65536,
 	}, before)
 	require.NoError(t, c.Drain(ctx, id, 1))
 	require.NoError(t, c.Reboot(ctx, id, 1))
@@ -97,17 +97,17 @@
 	require.Equal(t, http.StatusOK, fault(t, c, `{"log":{"slow":5}}`))
 	require.True(t, e.Platform.Log.Faults().Down, "an absent switch stays as it is")
 	require.Equal(t, http.StatusOK, fault(t, c,
-		`{"instances":[{"match":{"centre":"dalvik","kind":"target"},"set":{"off":true}},{"match":{"id":"entry-2"},"set":{"leaving":true}}]}`))
+		`{"instances":[{"match":{"centre":"gamma","kind":"target"},"set":{"off":true}},{"match":{"id":"entry-2"},"set":{"leaving":true}}]}`))
 	list, err := c.List(ctx)
 	require.NoError(t, err)
-	require.Len(t, list, 33)
+	require.Len(t, list, 28)
 	entry, _ := find(t, c, "entry-2")
 	require.Equal(t, platform.StateLeaving, entry.State)
-	require.Equal(t, http.StatusOK, fault(t, c, `{"list":{"lag":1000},"instances":[{"match":{"id":"dalvik-target-1"},"set":{"off":false}}]}`))
-	_, listed := find(t, c, "dalvik-target-1")
+	require.Equal(t, http.StatusOK, fault(t, c, `{"list":{"lag":1000},"instances":[{"match":{"id":"gamma-target-1"},"set":{"off":false}}]}`))
+	_, listed := find(t, c, "gamma-target-1")
 	require.False(t, listed, "a returned machine appears after the lag")
 	manual.Advance(time.Second)
-	back, _ := find(t, c, "dalvik-target-1")
+	back, _ := find(t, c, "gamma-target-1")
 	require.Equal(t, instance.Incarnation(2), back.Incarnation)
 	require.Equal(t, http.StatusBadRequest, fault(t, c, `{"log":{"downn":true}}`))
 	require.Equal(t, http.StatusNotFound, fault(t, c, `{"instances":[{"match":{"id":"nobody"},"set":{}}]}`))
