Merge job; it uses the shared gate and delays

Cause: job kept copies of the gate for old states and of the delay by rank. Its benchmark of plans stood twice after the merge; the one with three sizes stays.

Conclusion: one gate in stream, one delay in timer; tests of job pass.

--- a/job/handler.go
+++ b/job/handler.go
@@ -110,7 +110,7 @@
 	if j, ok := h.State.Keyed(body.Team, body.Key); ok {
 		return same(j, body)
 	}
-	if silence := h.Timer.Since(h.Follower.Contact()); silence > contactLimit {
+	if silence := h.Timer.Since(h.Follower.Contact()); silence > stream.ContactLimit {
 		// An append that is tried and fails may still take effect. Nothing has been tried yet, so the
 		// caller can be told that the job will not run.
 		return Answer{}, &LogError{Cause: &SilenceError{Silence: silence}}
--- a/job/plan_test.go
+++ b/job/plan_test.go
@@ -283,21 +283,3 @@
 		require.True(t, added[w.ID] == Size{} || total.within(w.capacity()), "%s is overcommitted: %+v", w.ID, total)
 	}
 }
-
-// BenchmarkPlan measures one plan of a full pool of the mean size at the target, with long queues.
-func BenchmarkPlan(b *testing.B) {
-	for _, queued := range []int{100, 10_000} {
-		b.Run(fmt.Sprint(queued), func(b *testing.B) {
-			in := input(23)
-			for n := range 23 * 4 {
-				in.hold(n%23, ID(fmt.Sprint("h", n)), nil)
-			}
-			for n := range queued {
-				in.queue(ID(fmt.Sprint("q", n)), nil)
-			}
-			for b.Loop() {
-				Plan(in)
-			}
-		})
-	}
-}
--- a/job/runner.go
+++ b/job/runner.go
@@ -15,6 +15,7 @@
 	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/team"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
@@ -84,7 +85,7 @@
 	// Author is the id of the entry.
 	Author record.Author
 
-	gate   gate
+	gate   stream.Gate
 	paused bool
 	pools  map[pool.Name]*poolTurn
 	shards shards
@@ -94,7 +95,7 @@
 
 // poolTurn is what is kept between the plans of one pool.
 type poolTurn struct {
-	turns   turns
+	turns   timer.Delays
 	planned time.Time
 }
 
@@ -142,7 +143,7 @@
 
 // openSince returns since when the state is recent, or zero if it is not.
 func (r *Runner) openSince() time.Time {
-	return r.gate.open(r.Timer.Now(), r.Follower.Contact(), r.Follower.Current())
+	return r.gate.Open(r.Timer.Now(), r.Follower.Contact(), r.Follower.Current())
 }
 
 func (r *Runner) report(open bool) {
@@ -170,7 +171,7 @@
 	var group errgroup.Group
 	group.SetLimit(proposeLimit)
 	for _, p := range due {
-		if r.Timer.Now().Sub(planned) > gapLimit {
+		if r.Timer.Now().Sub(planned) > stream.GapLimit {
 			break
 		}
 		group.Go(func() error {
@@ -197,11 +198,11 @@
 	keys := map[string]bool{}
 	for _, p := range Plan(r.input(name)) {
 		keys[p.Decision()] = true
-		if turn.turns.due(p.Decision(), now, time.Duration(rank)*rankDelay) {
+		if turn.turns.Due(p.Decision(), now, time.Duration(rank)*rankDelay) {
 			due = append(due, p)
 		}
 	}
-	turn.turns.keep(keys)
+	turn.turns.Keep(keys)
 	return due
 }
 
--- a/stream/gate.go
+++ b/stream/gate.go
@@ -6,9 +6,9 @@
 )
 
 const (
-	// contactLimit is the silence of the log after which a state counts as old. It exceeds the 2 s of a
+	// ContactLimit is the silence of the log after which a state counts as old. It exceeds the 2 s of a
 	// long poll that finds no record.
-	contactLimit = 3 * time.Second
+	ContactLimit = 3 * time.Second
 	// GapLimit is the time between two steps of a loop after which the process counts as having been
 	// frozen.
 	GapLimit = 3 * time.Second
@@ -48,7 +48,7 @@
 			g.contacts++
 		}
 	}
-	recent := current && !contact.IsZero() && now.Sub(contact) <= contactLimit
+	recent := current && !contact.IsZero() && now.Sub(contact) <= ContactLimit
 	switch {
 	case !recent, !g.resumed.IsZero() && g.contacts < contactsNeeded:
 		g.since = time.Time{}
