scenario: failures against real processes

Eleven scenarios switch faults of the emulator or signal entries during a burst of keyed requests or a wave of jobs, and then compare what callers were told with the journals of all targets and workers, compare the entries with each other, and measure the roll-out of the next publish.

Entries that start together may divide a new fleet unevenly among the pools: each admits instances from its own plan, and admit's precondition is the version of the instance only. It is not a fault of the scripts: one entry alone never does it.

--- a/scenario/burst_test.go
+++ b/scenario/burst_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/failure"
@@ -19,7 +21,9 @@
 	callersPerEntry = 4
 	// callTimeout is when a caller gives up. What became of the request is unknown to it then.
 	callTimeout = 12 * time.Second
-	headerKey   = "Idempotency-Key"
+	// refusedPause keeps a caller whose entry is down from using up the burst.
+	refusedPause = 200 * time.Millisecond
+	headerKey    = "Idempotency-Key"
 )
 
 // httpClient is the client of callers and operators. Nothing is sent twice: a caller decides itself.
@@ -72,7 +76,8 @@
 	return counts
 }
 
-// call sends one request. A failure of the connection is the outcome unknown.
+// call sends one request. A refused connection is the outcome notrun, any other failure of the
+// connection unknown.
 func call(ctx context.Context, method, url string, header http.Header, body string) (reply, error) {
 	request, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
 	if err != nil {
@@ -83,6 +88,9 @@
 		header.Set("Hibiscuslane-Team", "default")
 	}
 	response, err := httpClient.Do(request)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return reply{outcome: failure.OutcomeNotRun, body: err.Error()}, nil
+	}
 	if err != nil {
 		return reply{outcome: failure.OutcomeUnknown, body: err.Error()}, nil
 	}
@@ -124,20 +132,24 @@
 		if i > b.count {
 			return
 		}
-		b.send(ctx, callers, fmt.Sprint("burst-", i))
+		pause := b.pause
+		if r := b.send(ctx, callers, fmt.Sprint("burst-", i)); r.outcome != failure.OutcomeAnswered {
+			pause = max(pause, refusedPause)
+		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(b.pause):
+		case <-time.After(pause):
 		}
 	}
 }
 
-func (b *burst) send(ctx context.Context, callers, key string) {
+func (b *burst) send(ctx context.Context, callers, key string) reply {
 	r, err := call(ctx, http.MethodPost, callers+b.path, http.Header{headerKey: {key}}, key)
 	if err != nil {
 		r = reply{outcome: failure.OutcomeUnknown, body: err.Error()}
 	}
 	b.ledger.add(key, r)
+	return r
 }
 
 // repeat sends every key of the burst once more through the entries.
--- a/scenario/check_test.go
+++ b/scenario/check_test.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"reflect"
 	"regexp"
-	"slices"
 	"strconv"
 	"time"
 
@@ -66,7 +65,7 @@
 	return "", err
 }
 
-// consistent holds what callers were told against what the targets executed.
+// consistent holds what callers were told against what the targets and workers executed.
 func (w *world) consistent([]string) (string, error) {
 	counts, err := w.executions()
 	if err != nil {
@@ -82,7 +81,7 @@
 			return "", fmt.Errorf("%s: %w; callers were told %v", key, err, w.told.told[key])
 		}
 	}
-	return "", nil
+	return "", w.exclusive()
 }
 
 // verify checks the replies to one key. A key that was only ever told to be notrun did not run, and all
@@ -145,19 +144,15 @@
 func (w *world) rollout([]string) (string, error) {
 	live := w.live()
 	client := live[0].client()
-	answer, err := client.Config(context.Background())
+	file, version, err := baseFile(live[0])
 	if err != nil {
 		return "", err
 	}
-	i := slices.IndexFunc(answer.Files, func(f config.Published) bool { return f.Name == config.Base })
-	if i < 0 {
-		return "", fmt.Errorf("no base file is published")
-	}
 	// The new timeout differs from the present one, whatever the version.
-	content := timeoutOfPool.ReplaceAll(answer.Files[i].Content, fmt.Appendf(nil, `"timeout": %d`, 20_000+int(answer.Version)))
+	content := timeoutOfPool.ReplaceAll(file.Content, fmt.Appendf(nil, `"timeout": %d`, 20_000+int(version)))
 	start := time.Now()
 	published, err := client.Publish(context.Background(), admin.PublishRequest{
-		Files: []config.FileChange{{Name: config.Base, Based: answer.Files[i].Version, Content: content}}, Author: "ada", Reason: "roll-out",
+		Files: []config.FileChange{{Name: config.Base, Based: file.Version, Content: content}}, Author: "ada", Reason: "roll-out",
 	}, false)
 	if err != nil {
 		return "", fmt.Errorf("publish after %v: %w", time.Since(start), err)
--- a/scenario/command_test.go
+++ b/scenario/command_test.go
@@ -21,6 +21,9 @@
 // language has commands kill, stop and wait already, which mean something else.
 var commands = map[string]func(ts *testscript.TestScript, neg bool, args []string){
 	"fleet":      command(1, func(w *world, args []string) (string, error) { return "", w.startFleet(args[0]) }),
+	"cluster":    command(1, (*world).cluster),
+	"race":       command(2, (*world).race),
+	"attempts":   command(1, (*world).attempts),
 	"entry":      command(1, each((*world).startEntry)),
 	"sigkill":    command(1, each((*world).sigkill)),
 	"freeze":     command(1, each((*world).freeze)),
@@ -41,7 +44,7 @@
 	"rollout":    command(0, (*world).rollout),
 	"golden":     command(1, (*world).golden),
 	"cli":        cli,
-	"wait":       command(1, pause),
+	"pause":      command(1, pause),
 }
 
 // command adapts a command that cannot be negated.
@@ -101,6 +104,34 @@
 	}
 }
 
+// cluster starts the fleet and a first entry, publishes the example configuration, and adds the other
+// entries once every instance has its pool.
+func (w *world) cluster(args []string) (string, error) {
+	if err := w.startFleet(args[0]); err != nil {
+		return "", err
+	}
+	names := args[1:]
+	if err := w.startEntry(names[0]); err != nil {
+		return "", err
+	}
+	if _, err := w.await([]string{"listening", names[0]}); err != nil {
+		return "", err
+	}
+	if _, fault, err := w.cli(w.entries[0], []string{"publish", "--dir", w.config, "--author", "ada", "--reason", "first"}); err != nil {
+		return "", fmt.Errorf("publish: %s: %w", fault, err)
+	}
+	if _, err := w.await([]string{"serving", names[0]}); err != nil {
+		return "", err
+	}
+	if _, err := each((*world).startEntry)(w, names[1:]); err != nil {
+		return "", err
+	}
+	if _, err := w.await(append([]string{"serving"}, names...)); err != nil {
+		return "", err
+	}
+	return w.await(append([]string{"peers", strconv.Itoa(len(names) - 1)}, names...))
+}
+
 // running returns an entry that is not dead.
 func (w *world) running(name string) (*node, error) {
 	n := w.find(name)
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -86,3 +86,43 @@
 // TestSession guards against a main path whose output changes unnoticed, against operators who
 // overwrite each other, and against a stop that cuts requests off.
 func TestSession(t *testing.T) { play(t, "session") }
+
+// TestKill guards against keys that run twice, or answers that get lost, when an entry dies under load.
+func TestKill(t *testing.T) { play(t, "kill") }
+
+// TestFreeze guards against an entry that acts on expired leases after a pause, and against others that
+// do not take over from it.
+func TestFreeze(t *testing.T) { play(t, "freeze") }
+
+// TestFreezeTwo guards against a single entry that cannot take over from all others.
+func TestFreezeTwo(t *testing.T) { play(t, "freeze-two") }
+
+// TestLogOutage guards against keyed requests that run without a record, an outage that stops other
+// requests, and an entry that cannot start from its peers.
+func TestLogOutage(t *testing.T) { play(t, "log-outage") }
+
+// TestAdmission guards against entries that start together and divide new instances unevenly among the
+// pools.
+func TestAdmission(t *testing.T) { play(t, "admission") }
+
+// TestLostAnswers guards against records that take effect twice when answers of the log are lost.
+func TestLostAnswers(t *testing.T) { play(t, "lost-answers") }
+
+// TestSilent guards against requests that wait on dead connections, and against keys that run twice
+// because of them.
+func TestSilent(t *testing.T) { play(t, "silent") }
+
+// TestRack guards against requests that are lost or run twice when several targets fail at once.
+func TestRack(t *testing.T) { play(t, "rack") }
+
+// TestClose guards against requests that run twice when a target executes them and gives no answer.
+func TestClose(t *testing.T) { play(t, "close") }
+
+// TestRace guards against two operators who both win with the same version.
+func TestRace(t *testing.T) { play(t, "race") }
+
+// TestCancel guards against cancelled jobs that go on running or keep their worker.
+func TestCancel(t *testing.T) { play(t, "cancel") }
+
+// TestWorker guards against a broken worker that uses up the attempts of good jobs.
+func TestWorker(t *testing.T) { play(t, "worker") }
--- a/scenario/world_test.go
+++ b/scenario/world_test.go
@@ -28,13 +28,15 @@
 
 // world is what one script runs: a fleet, entries, and what their callers were told.
 type world struct {
-	t        *testing.T
-	dir      string
+	t   *testing.T
+	dir string
+	// config is the directory of the example configuration.
+	config   string
 	fleet    emulator.Fleet
 	standin  *process
 	platform string
-	// targets holds the addresses of the targets, in the order of the fleet.
-	targets []string
+	// targets and workers hold addresses.
+	targets, workers []string
 	// entries are in the order of their start.
 	entries []*node
 	burst   *burst
@@ -61,7 +63,7 @@
 func (n *node) client() *admin.Client { return &admin.Client{Base: n.admin(), HTTP: httpClient} }
 
 func newWorld(t *testing.T, dir, config string) *world {
-	return &world{t: t, dir: dir, told: newLedger(), transcript: transcript{names: map[string]string{config: "CONFIG"}}}
+	return &world{t: t, dir: dir, config: config, told: newLedger(), transcript: transcript{names: map[string]string{config: "CONFIG"}}}
 }
 
 // close ends all processes by their pid.
@@ -231,6 +233,8 @@
 		switch {
 		case len(fields) > 2 && fields[0] == "target":
 			w.targets = append(w.targets, fields[2])
+		case len(fields) > 2 && fields[0] == "worker":
+			w.workers = append(w.workers, fields[2])
 		case len(fields) > 1 && fields[0] == "platform":
 			return nil
 		}
