scenario: cancelled tasks end before their leases do

TestCancel passed with the stop of cancelled tasks switched off, because the leases of the tasks expired after 10 s. It now also checks that no run of a worker lapsed: with the mechanism off it prints "96 leases expired".

--- a/scenario/command_test.go
+++ b/scenario/command_test.go
@@ -23,6 +23,7 @@
 	"fleet":      command(1, func(w *world, args []string) (string, error) { return "", w.startFleet(args[0]) }),
 	"cluster":    command(1, (*world).cluster),
 	"race":       command(2, (*world).race),
+	"lapsed":     command(1, (*world).lapsed),
 	"attempts":   command(1, (*world).attempts),
 	"entry":      command(1, each((*world).startEntry)),
 	"sigkill":    command(1, each((*world).sigkill)),
--- a/scenario/job_test.go
+++ b/scenario/job_test.go
@@ -128,6 +128,27 @@
 	return count, err
 }
 
+// lapsed checks the number of runs that ended because their lease did: N.
+func (w *world) lapsed(args []string) (string, error) {
+	want, err := strconv.Atoi(args[0])
+	if err != nil {
+		return "", err
+	}
+	tasks, err := w.runs()
+	count := 0
+	for _, runs := range tasks {
+		for _, run := range runs {
+			if run.State == platform.TaskLapsed {
+				count++
+			}
+		}
+	}
+	if err == nil && count != want {
+		err = fmt.Errorf("%d leases expired", count)
+	}
+	return "", err
+}
+
 // exclusive checks the journals of the workers: no attempt of a task runs twice, and no two attempts of
 // a task run at the same time.
 func (w *world) exclusive() error {
