planner: experiment with static pools and greedy rebalancing

Cause: section 6.6 of the design asks for a comparison of the planner with static pools and greedy rebalancing, and there was no figure for either. The list shows an outage one step (10 s) late. World.build takes the sites from the settings, and a viewer reads the fleet once per look at the list. Steps of a few seconds were not tried for the same reason.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PROTOC_GEN_GO_VERSION := v1.36.12
 GOBIN := $(shell go env GOPATH)/bin
 
-.PHONY: build test lint fmt vet fuzz generate tools demo proofs bench events
+.PHONY: build test lint fmt vet fuzz generate tools demo proofs bench events measure
 
 build:
 	go build -o bin/ . ./standin
@@ -39,6 +39,11 @@
 	$(BENCH) -bench Process -benchtime 1x ./entry; } >$$out 2>&1 || { cat $$out; exit 1; }; .ci/slopes $$out
 	@date; echo "load: $$(cut -d' ' -f1-3 /proc/loadavg)"
 
+# The table of docs/planner.md.
+measure:
+	@date; echo "cores: $$(nproc), load: $$(cut -d' ' -f1-3 /proc/loadavg)"
+	go test -count=1 -run '^TestExperiment$$' -v ./planner -args -days 3
+
 demo:
 	go run ./standin demo
 
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -64,7 +65,7 @@
 
 // build adds the machines of every size declared, four to a rack, and admits them.
 func (w *world) build(extra int) {
-	for _, name := range []site.Name{"c1", "c2", "c3"} {
+	for _, name := range slices.Sorted(maps.Keys(w.sites)) {
 		for _, kind := range kinds {
 			total := extra
 			for _, spec := range w.sites[name].Pools {
@@ -98,15 +99,15 @@
 
 // see shows the list to a viewer as often as a runner would have read it, up to the silence limit.
 func (w *world) see(n int) {
-	p := &w.views[n].presence
+	p, instances := &w.views[n].presence, w.views[n].state.All()
 	at := w.now.Add(-silenceLimit)
 	if p.last.After(at) {
 		at = p.last
 	}
 	for at = at.Add(listGap); at.Before(w.now); at = at.Add(listGap) {
-		p.add(at, w.list(), w.views[n].state.All())
+		p.add(at, w.list(), instances)
 	}
-	p.add(w.now, w.list(), w.views[n].state.All())
+	p.add(w.now, w.list(), instances)
 }
 
 func (w *world) catchUp() {
@@ -195,8 +196,10 @@
 }
 
 // act carries out a viewer's actions as the platform does.
-func (w *world) act(n int) {
-	for _, a := range Actions(w.input(n)) {
+func (w *world) act(n int) { w.control(Actions(w.input(n))) }
+
+func (w *world) control(actions []Action) {
+	for _, a := range actions {
 		m := w.machine(a.ID)
 		if a.Verb == VerbReboot && m.up && m.Incarnation == a.Incarnation {
 			w.stop(m, rebootTime)
