planner: tests of racing drains at the floor and of a busy surplus

Cause: no test reached the floor check of the fold. TestRacingDrains compared two empty plans: when the seventh target of its pool joins, all seven have just been visited and none is due. It now starts at the next wave, when all are due, with its checks unchanged. TestFloorRace drains from one pool by two planners of which one has not read a publish yet, in both orders, with wide limits of rack and data centre. TestBusySurplus checks that a busy pool gives back and lends nothing, and that it does at the threshold itself. Ruled out: a lagging fold as the difference of views, because the version of the instance refuses the second drain before the floor does. Trial on a scratch copy with the floor check switched off, before: TestRacingDrains could not fail on an empty plan. After: --- FAIL: TestFloorRace world_test.go:145: Error: "5" is not greater than or equal to "6" a drain (maintenance: last joined 384h0m0s ago) took pool tight below its budget and TestRacingDrains fails with the same message after 0 passing cases. With busyShare out of reach, TestBusySurplus fails: "Should be empty, but was drain c1-target-00: pool loose has 1 above its size". Conclusion: the floor in the fold keeps the budget when planners race.

--- a/planner/plan_test.go
+++ b/planner/plan_test.go
@@ -1,6 +1,7 @@
 package planner
 
 import (
+	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/site"
+	"hibiscuslane.example/hibiscuslane/stream"
 )
 
 // smallSites declares a pool with headroom, one without, and a spare pool, at three sites.
@@ -206,17 +208,25 @@
 	}
 }
 
+// raised returns two planners before a maintenance wave, in which pool tight has one target above its
+// budget of six from the wave before.
+func raised(t require.TestingT) *world {
+	w := newWorld(t, smallSites(), 2)
+	w.build(0)
+	w.advance(16 * day)
+	for n := 0; w.state.Counts("tight", instance.KindTarget).Active < 7; n++ {
+		require.Less(t, n, 60, "no instance joins a pool that has no headroom for maintenance")
+		w.round(time.Minute)
+	}
+	w.advance(16 * day)
+	return w
+}
+
 // TestRacingDrains guards against two planners with different views that drain different instances of
 // a pool which has headroom for one.
 func TestRacingDrains(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		w := newWorld(t, smallSites(), 2)
-		w.build(0)
-		w.advance(16 * day)
-		for n := 0; w.state.Counts("tight", instance.KindTarget).Active < 7; n++ {
-			require.Less(t, n, 60, "no instance joins a pool that has no headroom for maintenance")
-			w.round(time.Minute)
-		}
+		w := raised(t)
 		plans := make([][]Proposal, len(w.views))
 		for n := range w.views {
 			w.see(n)
@@ -307,3 +317,74 @@
 		}
 	}
 }
+
+// TestFloorRace guards against two planners that take a pool below its budget together. One of them
+// does not know yet that maintenance was switched off at a site, so they drain instances of different
+// data centres, and only the floor in the fold can refuse the second drain: the limits of rack and data
+// centre are wide.
+func TestFloorRace(t *testing.T) {
+	for _, order := range [][]int{{0, 1}, {1, 0}} {
+		w := raised(t)
+		for name, settings := range w.sites {
+			settings.Maintenance.Rack, settings.Maintenance.Centre = len(w.machines), len(w.machines)
+			w.sites[name] = settings
+		}
+		var drains []*fleet.Drain
+		for n := range w.views {
+			w.see(n)
+			in := w.input(n)
+			if n == 1 {
+				in.Sites = maps.Clone(in.Sites)
+				settings := in.Sites["c1"]
+				settings.Maintenance.Days = 0
+				in.Sites["c1"] = settings
+			}
+			drains = append(drains, drainsOf(w, Plan(in), "tight")...)
+		}
+		require.Len(t, drains, 2, "each planner uses the headroom of one")
+		require.NotEqual(t, w.machine(drains[0].ID).Centre, w.machine(drains[1].ID).Centre)
+		require.Equal(t, stream.ResultApplied, w.append(drains[order[0]]).Result)
+		second := w.append(drains[order[1]])
+		require.Equal(t, stream.ResultStale, second.Result)
+		require.Contains(t, second.Reason, "pool tight has 6 active instances of kind target and must keep 6")
+		require.Equal(t, 6, w.state.Counts("tight", instance.KindTarget).Active)
+	}
+}
+
+// drainsOf returns the drains of targets of a pool.
+func drainsOf(w *world, proposals []Proposal, name pool.Name) []*fleet.Drain {
+	var drains []*fleet.Drain
+	for _, p := range proposals {
+		drain, ok := p.Body.(*fleet.Drain)
+		if i, _ := w.state.Instance(p.Body.Object().ID); ok && i.Pool == name && i.Kind == instance.KindTarget {
+			drains = append(drains, drain)
+		}
+	}
+	return drains
+}
+
+// TestBusySurplus guards against a pool that loses its surplus, to a spare pool or to a short one, while
+// it uses more than busyShare of its size.
+func TestBusySurplus(t *testing.T) {
+	for next, spare := range map[pool.Name]int{"spare": 0, "tight": 1} {
+		w := newWorld(t, smallSites(), 1)
+		w.build(0)
+		for _, settings := range w.sites {
+			settings.Pools["spare"] = pool.Spec{Size: pool.Count{Targets: 1, Workers: 1}, Budget: pool.Count{Targets: spare}, Spare: true}
+		}
+		w.sites["c1"].Pools["loose"] = pool.Spec{Size: pool.Count{Targets: 1, Workers: 1}}
+		if next == "tight" {
+			w.sites["c1"].Pools["tight"] = pool.Spec{Size: pool.Count{Targets: 3}, Budget: pool.Count{Targets: 2}}
+		}
+		w.advance(time.Hour)
+		w.see(0)
+		in := w.input(0)
+		// The pool has six targets and a size of five.
+		in.History.Demand = map[pool.Name]float64{"loose": 5*busyShare + 0.1}
+		require.Empty(t, reasons(Plan(in)))
+		in.History.Demand["loose"] = 5 * busyShare
+		drains := drainsOf(w, Plan(in), "loose")
+		require.Len(t, drains, 1)
+		require.Equal(t, next, drains[0].Next)
+	}
+}
