--- a/planner/runner_test.go
+++ b/planner/runner_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"sync"
 	"testing"
@@ -21,8 +20,6 @@
 	"hibiscuslane.example/hibiscuslane/timer"
 )
 
-var errDown = errors.New("down")
-
 // surroundings stands for everything that a runner talks to.
 type surroundings struct {
 	mu       sync.Mutex
