planner, member: one decision assigns pools; a new entry ranks last

Cause: TestAdmission failed in about 3 of 10 starts: pools of a new fleet were divided unevenly (alpha/batch 3+1, spare 0+0, web 2+4). Each admit was a decision of its own, so three entries each admitted a third of the instances, from plans that had not seen the others' records; and an entry that had just started knew no peer and took itself for the first of all.

Ruled out: the admit record naming the size of its pool as a precondition; it makes almost every record of a new fleet stale.

Change: choosing a pool for new and returning instances is one ranked decision, with the delay counted per instance; an entry ranks last until it has listened for as long as a report counts.

--- a/member/member.go
+++ b/member/member.go
@@ -47,8 +47,10 @@
 	// Status returns the report of this entry. It must not block.
 	Status func() *peer.Status
 
-	mu    sync.Mutex
-	known map[instance.ID]*contact
+	mu sync.Mutex
+	// started is the time at which Run began; zero before.
+	started time.Time
+	known   map[instance.ID]*contact
 	// listed is the last list that the platform returned.
 	listed   []platform.Listing
 	listedAt time.Time
@@ -67,6 +69,9 @@
 
 // Run exchanges reports until ctx ends.
 func (g *Group) Run(ctx context.Context) error {
+	g.mu.Lock()
+	g.started = g.Timer.Now()
+	g.mu.Unlock()
 	tick := g.Timer.Every(heartbeat)
 	defer tick.Stop()
 	for {
@@ -310,7 +315,20 @@
 	return g.Order(key)[0]
 }
 
-// Rank returns the position of this entry in the order for a key; 0 is the first choice.
+// Rank returns the position of this entry in the order for a key; 0 is the first choice. An entry that
+// has just started ranks last, because it has not heard its peers yet and would take itself for the
+// first choice of everything.
 func (g *Group) Rank(key string) int {
+	if last, ok := g.newcomer(); ok {
+		return last
+	}
 	return slices.Index(g.Order(key), g.Self)
 }
+
+// newcomer reports whether this entry has listened to its peers for less than liveness, and the last
+// rank among the listed entries.
+func (g *Group) newcomer() (last int, ok bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.known), !g.started.IsZero() && g.Timer.Since(g.started) < liveness
+}
--- a/planner/input.go
+++ b/planner/input.go
@@ -3,6 +3,7 @@
 package planner
 
 import (
+	"cmp"
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/config"
@@ -50,8 +51,13 @@
 	// Decision names what is decided, so that the entries agree on who proposes it first. Drains into
 	// one pool are one decision: two entries that fill the same gap would move two instances.
 	Decision string
+	// Pending names what the delay of the entries that do not act first is counted for; empty means
+	// Decision.
+	Pending string
 }
 
+func (p Proposal) pending() string { return cmp.Or(p.Pending, p.Decision) }
+
 // Reason returns the reason that the record states.
 func (p Proposal) Reason() string { return p.Body.Object().Reason }
 
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -62,6 +62,16 @@
 	v.proposals = append(v.proposals, Proposal{Body: body, Decision: decision})
 }
 
+// assignment is the decision that chooses pools for new and returning instances. It is one decision for
+// all of them: entries that each choose for some of the instances, from states that differ by the others'
+// records, would divide a new fleet unevenly.
+const assignment = "assign"
+
+// assign proposes a record that chooses a pool.
+func (v *view) assign(body fleet.Body) {
+	v.proposals = append(v.proposals, Proposal{Body: body, Decision: assignment, Pending: single(body)})
+}
+
 // single names a decision about one instance.
 func single(body fleet.Body) string {
 	return string(body.Kind()) + "/" + string(body.Object().ID)
@@ -126,7 +136,11 @@
 			Subject: subject(m, "%s", reason), Pool: name, Incarnation: m.listing.Incarnation,
 			Address: m.listing.Address, Centre: m.listing.Centre, Rack: m.listing.Rack,
 		}
-		v.propose(single(body), body)
+		if m.Phase == instance.PhaseLost {
+			v.assign(body)
+		} else {
+			v.propose(single(body), body)
+		}
 		v.arrive(m, name)
 	}
 }
@@ -192,7 +206,7 @@
 		Address: listing.Address, Centre: listing.Centre, Rack: listing.Rack,
 		Cores: listing.Cores, Memory: listing.Memory, Accelerators: listing.Accelerators,
 	}
-	v.propose(single(body), body)
+	v.assign(body)
 	v.welcome(group{pool: name, kind: listing.Kind}, listing)
 }
 
--- a/planner/runner.go
+++ b/planner/runner.go
@@ -185,7 +185,7 @@
 func (r *Runner) propose(ctx context.Context, planned time.Time, proposals []Proposal) {
 	keys := make(map[string]bool, len(proposals))
 	for _, p := range proposals {
-		keys[p.Decision] = true
+		keys[p.pending()] = true
 	}
 	r.proposals.Keep(keys)
 	var group errgroup.Group
@@ -195,7 +195,7 @@
 		if now.Sub(planned) > stream.GapLimit {
 			break
 		}
-		if r.proposals.Due(p.Decision, now, r.delay(p.Decision)) {
+		if r.proposals.Due(p.pending(), now, r.delay(p.Decision)) {
 			group.Go(func() error {
 				r.proposeOne(ctx, p)
 				return nil
--- a/snapshot/snapshot_test.go
+++ b/snapshot/snapshot_test.go
@@ -169,4 +169,3 @@
 		_, _, _ = image.Unpack()
 	})
 }
-
