stream: an append that the log refused may be withdrawn

Cause: a record counted as tried once an append had been sent, also when the log had refused each one. During an outage submits and publishes were then answered as unknown although nothing had taken effect, and abandoned claims appeared after the outage.

Change: a refusal by the log takes the mark back, unless an earlier attempt may have taken effect; a record that is given up meanwhile is not sent.

Tests: TestLogDown and TestHandlerUnknown asserted the old behaviour (claim in the log after the outage; unknown). Each was split in two of equal strictness: with the log down the outcome is notrun and the record never appears; with lost answers the outcome is as before and the record appears.

Also: no event about paused planning before the first contact with the log; addresses in entry.started are text.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -271,8 +271,8 @@
 	start(e.newJobs().Run)
 	start(func(ctx context.Context) error { return e.table.Run(ctx, e.transport) })
 	start(e.watchReadiness)
-	e.events.Info(eventStarted, "incarnation", e.self.Incarnation, "callers", e.listeners.callers.Addr(),
-		"peers", e.listeners.peers.Addr(), "admin", e.listeners.admin.Addr())
+	e.events.Info(eventStarted, "incarnation", e.self.Incarnation, "callers", e.listeners.callers.Addr().String(),
+		"peers", e.listeners.peers.Addr().String(), "admin", e.listeners.admin.Addr().String())
 	<-ctx.Done()
 	err := e.stop(background, servers)
 	cancel()
--- a/job/handler_test.go
+++ b/job/handler_test.go
@@ -70,7 +70,7 @@
 	e := w.ready("entry-1")
 	body, err := json.Marshal(spec("echo"))
 	require.NoError(t, err)
-	w.log.SetFaults(appendlog.Faults{Down: true})
+	w.log.SetFaults(appendlog.Faults{Lose: 1_000_000})
 	got := e.call(http.MethodPost, Prefix, string(body), "k")
 	require.Equal(t, http.StatusBadGateway, got.Code, got.Body)
 	require.Contains(t, got.Body.String(), `"outcome":"unknown"`)
@@ -78,6 +78,26 @@
 	w.until(20*time.Second, "the job of the unknown submit", func() bool { j, ok := e.state.Keyed("red", "k"); return ok && j.Status == StatusDone })
 }
 
+// TestHandlerOutage guards against a submit that is answered as unknown although the log refused it each
+// time, and against a record of it that appears after the outage.
+func TestHandlerOutage(t *testing.T) {
+	w := newWorld(t, 1)
+	e := w.ready("entry-1")
+	body, err := json.Marshal(spec("echo"))
+	require.NoError(t, err)
+	w.log.SetFaults(appendlog.Faults{Down: true})
+	got := e.call(http.MethodPost, Prefix, string(body), "k")
+	require.Equal(t, http.StatusServiceUnavailable, got.Code, got.Body)
+	require.Contains(t, got.Body.String(), `"outcome":"notrun"`)
+	w.log.SetFaults(appendlog.Faults{})
+	end := w.manual.Now()
+	w.until(10*time.Second, "a read after the outage", func() bool { return e.follower.Contact().After(end) })
+	later := e.submit(spec("echo"))
+	e.awaitStatus(20*time.Second, later, StatusDone)
+	_, ok := e.state.Keyed("red", "k")
+	require.False(t, ok)
+}
+
 // TestHandlerCancel guards against a cancelled job that runs on, and a cancellation that changes a job
 // that has ended.
 func TestHandlerCancel(t *testing.T) {
--- a/job/runner.go
+++ b/job/runner.go
@@ -147,7 +147,8 @@
 }
 
 func (r *Runner) report(open bool) {
-	if open != r.paused {
+	if open != r.paused || !open && r.Follower.Contact().IsZero() {
+		// Before the first contact with the log nothing has been paused.
 		return
 	}
 	r.paused = !open
--- a/planner/runner.go
+++ b/planner/runner.go
@@ -137,7 +137,8 @@
 }
 
 func (r *Runner) report(open bool) {
-	if open != r.paused {
+	if open != r.paused || !open && r.Follower.Contact().IsZero() {
+		// Before the first contact with the log nothing has been paused.
 		return
 	}
 	r.paused = !open
@@ -148,7 +149,6 @@
 	r.Events.Warn(eventPaused, "contact", r.Follower.Contact())
 }
 
-// refresh reads the list and reports whether any list is known.
 // refresh takes up the newest list and reports whether there ever was one.
 func (r *Runner) refresh() bool {
 	list, at := r.Lister.List()
--- a/request/atmostonce_test.go
+++ b/request/atmostonce_test.go
@@ -183,6 +183,23 @@
 		f.log.set(false, 0)
 		wait(f, 10*time.Second)
 		batch, _ := f.log.batch(0)
+		require.Empty(f, batch.Records, "the log refused the claim, so it never appears")
+		assert.Equal(f, failure.OutcomeAnswered, f.second.post(f.Context(), "k", "k", normal).outcome)
+		assert.Equal(f, 1, f.target.executions("k"))
+	})
+}
+
+// TestAnswersOfLogLost guards against executing with a claim that is not known to have won, and against
+// a key that stays unusable because its claim is in the log and its request was refused.
+func TestAnswersOfLogLost(t *testing.T) {
+	run(t, func(f *fixture) {
+		f.log.set(false, 1_000_000)
+		got := f.first.post(f.Context(), "k", "k", normal)
+		assert.Equal(f, outcome{status: http.StatusServiceUnavailable, outcome: failure.OutcomeNotRun}, outcome{got.status, got.outcome, ""})
+		assert.Zero(f, f.target.executions("k"))
+		f.log.set(false, 0)
+		wait(f, 10*time.Second)
+		batch, _ := f.log.batch(0)
 		require.NotEmpty(f, batch.Records, "the claim of the refused request is in the log")
 		assert.Equal(f, failure.OutcomeAnswered, f.second.post(f.Context(), "k", "k", normal).outcome)
 		assert.Equal(f, 1, f.target.executions("k"))
--- a/stream/appender.go
+++ b/stream/appender.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/event"
+	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/timer"
@@ -41,8 +43,11 @@
 type pending struct {
 	envelope record.Envelope
 	// data is the encoded envelope, set when the record gets its sequence.
-	data      json.RawMessage
-	tried     bool
+	data json.RawMessage
+	// tried is set while an attempt is in flight or may have taken effect, and ambiguous if that held
+	// before the attempt in flight.
+	tried, ambiguous bool
+	// withdrawn is set only while tried is not.
 	withdrawn bool
 	done      chan record.Offset
 }
@@ -144,20 +149,20 @@
 	a.sequence++
 	p.envelope.ID = record.ID{Writer: a.Writer, Sequence: a.sequence}
 	p.envelope.Time = a.Timer.Now().UTC()
-	p.tried = true
 	// The body was encoded before, and the other fields always encode.
 	p.data, _ = record.Encode(p.envelope)
 }
 
-// send repeats the batch until it is acknowledged or ctx ends.
+// send repeats the batch until it is acknowledged or ctx ends. While the log has refused every attempt,
+// no record can have taken effect, and records may still be withdrawn.
 func (a *Appender) send(ctx context.Context, batch []*pending) error {
-	records := make([]json.RawMessage, len(batch))
-	for i, p := range batch {
-		records[i] = p.data
-	}
 	delay := time.Duration(0)
 	for {
-		first, err := a.try(ctx, records)
+		batch = a.attempt(batch)
+		if len(batch) == 0 {
+			return nil
+		}
+		first, err := a.try(ctx, batch)
 		if err == nil {
 			acknowledge(batch, first)
 			return nil
@@ -165,6 +170,9 @@
 		if ctx.Err() != nil {
 			return ctx.Err()
 		}
+		if failure.Of(err).Outcome() == failure.OutcomeNotRun {
+			a.refused(batch)
+		}
 		delay = nextDelay(delay)
 		a.Events.Warn(eventAppendFailed, "stream", a.Stream, "records", len(batch), "error", err, "delay_ms", delay.Milliseconds())
 		if err := a.Timer.Sleep(ctx, delay); err != nil {
@@ -173,7 +181,33 @@
 	}
 }
 
-func (a *Appender) try(ctx context.Context, records []json.RawMessage) (record.Offset, error) {
+// attempt drops the records that were withdrawn and marks the others as tried.
+func (a *Appender) attempt(batch []*pending) []*pending {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	batch = slices.DeleteFunc(batch, func(p *pending) bool { return p.withdrawn })
+	for _, p := range batch {
+		p.ambiguous = p.tried
+		p.tried = true
+	}
+	return batch
+}
+
+// refused takes the mark of an attempt back that the log refused, unless an earlier attempt may have
+// taken effect.
+func (a *Appender) refused(batch []*pending) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, p := range batch {
+		p.tried = p.ambiguous
+	}
+}
+
+func (a *Appender) try(ctx context.Context, batch []*pending) (record.Offset, error) {
+	records := make([]json.RawMessage, len(batch))
+	for i, p := range batch {
+		records[i] = p.data
+	}
 	ctx, cancel := a.Timer.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	return a.Log.Append(ctx, a.Stream, records)
