member, route: entries tell each other which targets leave; eris traces

Cause: since most entries read the platform's list each 15 s, a target that only the list shows as leaving was still used by them. TestLeavingTarget failed: "Condition never satisfied" within 3 s. A second cause in the same test: the reader's period of 2 s was 3 s in effect, because a read that took some microseconds made the next heartbeat fall short of it.

Change: heartbeats carry the leaving targets of the reporter's list, and all peers are called at once when there is a new one; the period allows for half a heartbeat.

Ruled out: reading the list each 2 s everywhere again (22.9 KB/s at 100 instances).

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,8 +38,10 @@
 )
 
 const (
-	// routePeriod is the period at which the table of targets takes up the platform's list.
-	routePeriod = 500 * time.Millisecond
+	// routePeriod is the period at which the table of targets takes up the platform's list and the
+	// reports of peers. With the 2 s between two reads of the list it stays within the 3 s after which a
+	// leaving target receives no new work.
+	routePeriod = 200 * time.Millisecond
 	// readHeaderTimeout bounds how long a connection may take to send its headers.
 	readHeaderTimeout = 10 * time.Second
 	// idleTimeout bounds how long callers' connections stay open without a request.
@@ -238,7 +240,7 @@
 	status := &peer.Status{
 		Entry: string(e.self.Entry), Incarnation: uint64(e.self.Incarnation), Centre: string(e.settings.Centre),
 		Ready: e.unready() == nil, Stopping: e.stopping.Load(), Config: int64(e.config.Version()),
-		Offsets: map[string]int64{}, Silence: -1,
+		Offsets: map[string]int64{}, Silence: -1, Leaving: e.group.Leaving(),
 	}
 	for _, id := range e.table.Ejected() {
 		status.Failing = append(status.Failing, string(id))
@@ -325,6 +327,11 @@
 		if list, at := e.group.List(); !at.IsZero() {
 			e.table.List(list)
 		}
+		for _, p := range e.group.Peers() {
+			for _, l := range p.GetLeaving() {
+				e.table.Leaving(instance.ID(l.GetTarget()), instance.Incarnation(l.GetIncarnation()))
+			}
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/event/event.go
+++ b/event/event.go
@@ -3,9 +3,12 @@
 package event
 
 import (
+	"errors"
 	"io"
 
 	"github.com/hashicorp/go-hclog"
+
+	"hibiscuslane.example/hibiscuslane/failure"
 )
 
 // Number identifies an event. Numbers are never reused for another meaning.
@@ -73,7 +76,27 @@
 	if l.logger == nil {
 		return
 	}
-	fields := make([]any, 0, len(pairs)+4)
+	fields := make([]any, 0, len(pairs)+6)
 	fields = append(fields, "event", int(e.Number), "kind", e.Name)
-	l.logger.Log(level, e.Text, append(fields, pairs...)...)
+	fields = append(fields, pairs...)
+	if trace := traceOf(pairs); trace != "" {
+		fields = append(fields, "trace", trace)
+	}
+	l.logger.Log(level, e.Text, fields...)
+}
+
+// traceOf returns the stack of the first unexpected failure among the values of the pairs. Failures with
+// a type of their own need none.
+func traceOf(pairs []any) string {
+	for _, value := range pairs {
+		err, ok := value.(error)
+		if !ok {
+			continue
+		}
+		var internal *failure.InternalError
+		if errors.As(err, &internal) {
+			return internal.Trace()
+		}
+	}
+	return ""
 }
--- a/failure/failure.go
+++ b/failure/failure.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/rotisserie/eris"
 )
 
 // Code names the kind of a failure in API answers and logs.
@@ -56,11 +58,15 @@
 	RetryAfter() time.Duration
 }
 
-// InternalError reports a failure that has no type of its own, such as one from a library.
+// InternalError reports a failure that has no type of its own, such as one from a library. Its cause
+// carries the stack of the place where it was noticed.
 type InternalError struct {
 	Cause error
 }
 
+// Trace returns the cause with its stack.
+func (e *InternalError) Trace() string { return eris.ToString(e.Cause, true) }
+
 func (e *InternalError) Error() string { return "internal error: " + e.Cause.Error() }
 
 // Unwrap returns the cause.
@@ -78,7 +84,7 @@
 	if errors.As(err, &coded) {
 		return coded
 	}
-	return &InternalError{Cause: err}
+	return &InternalError{Cause: eris.Wrap(err, "unexpected failure")}
 }
 
 // Status maps an error to an HTTP status.
--- a/member/member.go
+++ b/member/member.go
@@ -54,6 +54,10 @@
 	// listed is the last list that the platform returned.
 	listed   []platform.Listing
 	listedAt time.Time
+	// leaving holds the targets that the list shows as leaving.
+	leaving map[instance.ID]instance.Incarnation
+	// announce is set when a target has begun to leave since the last exchange.
+	announce bool
 	// stranger is set when an entry that is not listed has reported since the last list.
 	stranger bool
 }
@@ -94,7 +98,9 @@
 	if stranger {
 		period = listPeriod
 	}
-	if !listedAt.IsZero() && g.Timer.Since(listedAt) < period {
+	// The read of an earlier heartbeat took time of its own; half a heartbeat keeps the period from
+	// growing by a whole one.
+	if !listedAt.IsZero() && g.Timer.Since(listedAt) < period-heartbeat/2 {
 		return
 	}
 	listCtx, cancel := g.Timer.WithTimeout(ctx, reportTimeout)
@@ -110,7 +116,7 @@
 // listPeriod returns how often this entry reads the list. An entry that knows no live peer reads often,
 // because a peer that just started is found by the list only.
 func (g *Group) listPeriod() time.Duration {
-	if g.Rank(listDecision) == 0 {
+	if g.Owner(listDecision) == g.Self {
 		return listPeriod
 	}
 	return listPeriodOther
@@ -120,6 +126,7 @@
 func (g *Group) SetList(list []platform.Listing) {
 	g.mu.Lock()
 	g.listed, g.listedAt, g.stranger = list, g.Timer.Now(), false
+	g.noteLeavingLocked(list)
 	addresses := map[instance.ID]instance.Address{}
 	for _, l := range list {
 		if l.Kind == instance.KindEntry && l.ID != g.Self {
@@ -146,14 +153,51 @@
 	g.Clients.Keep(keep)
 }
 
+// noteLeavingLocked takes up which targets the list shows as leaving.
+func (g *Group) noteLeavingLocked(list []platform.Listing) {
+	leaving := map[instance.ID]instance.Incarnation{}
+	for _, l := range list {
+		if l.Kind != instance.KindTarget || l.State != platform.StateLeaving {
+			continue
+		}
+		leaving[l.ID] = l.Incarnation
+		if known, ok := g.leaving[l.ID]; !ok || known < l.Incarnation {
+			g.announce = true
+		}
+	}
+	g.leaving = leaving
+}
+
+// Leaving returns the targets that this entry's list shows as leaving, in ascending order.
+func (g *Group) Leaving() []*peer.Leaving {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []*peer.Leaving
+	for id, incarnation := range g.leaving {
+		list = append(list, &peer.Leaving{Target: string(id), Incarnation: uint64(incarnation)})
+	}
+	slices.SortFunc(list, func(a, b *peer.Leaving) int { return cmp.Compare(a.GetTarget(), b.GetTarget()) })
+	return list
+}
+
+// takeAnnounce reports whether all peers have to be told at once, because a target has begun to leave.
+func (g *Group) takeAnnounce() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	announce := g.announce
+	g.announce = false
+	return announce
+}
+
 // exchange calls the peers with a higher id. Those with a lower id call this entry, and both learn
 // the other's status from one call. A peer with a lower id that is silent is called too: it may not
 // have read a list with this entry yet.
 func (g *Group) exchange(ctx context.Context) {
 	status := g.Status()
 	var wait sync.WaitGroup
+	announce := g.takeAnnounce()
 	for id, address := range g.Addresses() {
-		if id < g.Self && g.heard(id) {
+		if id < g.Self && g.heard(id) && !announce {
 			continue
 		}
 		wait.Go(func() {
--- a/route/table.go
+++ b/route/table.go
@@ -131,6 +131,13 @@
 	t.raiseLocked(id, incarnation+1, "refusal")
 }
 
+// Leaving takes the report of another entry whose list shows a target as leaving.
+func (t *Table) Leaving(id instance.ID, incarnation instance.Incarnation) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.raiseLocked(id, incarnation+1, "peer")
+}
+
 // raiseLocked raises the lowest usable incarnation of a target. It never lowers it, because the list
 // lags behind refusals and the fleet state.
 func (t *Table) raiseLocked(id instance.ID, least instance.Incarnation, source string) {
