entry: job decisions in the audit trail

Cause: audit showed publishes and fleet records, but not what the system decided about jobs, although the job state keeps these changes.

Change: a third source, with the job, the worker, the epoch and the reason.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -315,7 +315,7 @@
 	mux.Handle("GET /metrics", e.metrics.Handler())
 	handler := &admin.Handler{
 		Config: e.config, Publisher: e.channels[record.StreamConfig].proposer, Status: e, Timer: e.timer,
-		Trail: []audit.Source{e.config, fleetTrail{state: e.fleet}},
+		Trail: []audit.Source{e.config, fleetTrail{state: e.fleet}, jobTrail{state: e.jobs}},
 	}
 	handler.Register(mux)
 	return mux
--- a/entry/trail.go
+++ b/entry/trail.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"fmt"
+
 	"hibiscuslane.example/hibiscuslane/audit"
 	"hibiscuslane.example/hibiscuslane/fleet"
+	"hibiscuslane.example/hibiscuslane/job"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
 )
@@ -27,3 +30,36 @@
 	}
 	return entries
 }
+
+// jobTrail shows the applied job records in the audit trail. It implements audit.Source.
+type jobTrail struct{ state *job.State }
+
+// Trail implements audit.Source.
+func (j jobTrail) Trail() []audit.Entry {
+	changes := j.state.Audit(0)
+	entries := make([]audit.Entry, 0, len(changes))
+	for _, c := range changes {
+		entries = append(entries, audit.Entry{
+			Offset: c.Offset, Stream: record.StreamJob, Kind: c.Kind, Time: c.Time.Std(), Author: c.Author,
+			Objects: []audit.Object{{Name: jobObject(c), From: int64(c.Epoch)}}, Decision: c.Reason, Verdict: stream.ResultApplied,
+		})
+	}
+	return entries
+}
+
+// jobObject names what a job record changes.
+func jobObject(c job.Change) string {
+	name := "job " + string(c.ID)
+	switch {
+	case c.ID == "":
+		name = "worker " + string(c.Worker)
+	case c.Count > 1:
+		name += fmt.Sprintf(" and %d more", c.Count-1)
+	case c.Worker != "":
+		name += " on " + string(c.Worker)
+	}
+	if c.State != "" {
+		name += ": " + string(c.State)
+	}
+	return name
+}
--- a/scenario/transcript_test.go
+++ b/scenario/transcript_test.go
@@ -25,6 +25,8 @@
 	name    string
 }{
 	{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d+)?Z`), "TIME"},
+	// Which entry runs the workers of a pool depends on which peers it has heard by then.
+	{regexp.MustCompile(`(?m)^(TIME job/\d+ (?:place|start|finish) applied by )"entry-\d+"`), `$1"entry-N"`},
 	// Which entry admits which instance into which pool depends on who comes first.
 	{regexp.MustCompile(`(?m)^TIME fleet/\d+ admit .*\n(  .*\n)*`), ""},
 	{regexp.MustCompile(`\b(alpha|beta|gamma)-(target|worker)-\d+`), "$2-N"},
