--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -13,7 +13,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/stretchr/testify/require"
 
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	standin "hibiscuslane.example/hibiscuslane/standin/platform"
 )
 
@@ -45,8 +45,8 @@
 				listing := c.targets[caller%len(c.targets)].Listing()
 				r, err := http.NewRequest(http.MethodPost, "http://"+string(listing.Address)+"/pay", bytes.NewReader(make([]byte, benchBody)))
 				if err == nil {
-					r.Header.Set(platform.HeaderIncarnation, fmt.Sprint(listing.Incarnation))
-					r.Header.Set(platform.HeaderRequest, "bench")
+					r.Header.Set(upstream.HeaderIncarnation, fmt.Sprint(listing.Incarnation))
+					r.Header.Set(upstream.HeaderRequest, "bench")
 				}
 				return r, err
 			}
--- a/entry/capacity.go
+++ b/entry/capacity.go
@@ -9,7 +9,7 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/request"
 	"hibiscuslane.example/hibiscuslane/route"
@@ -79,7 +79,7 @@
 
 // Report implements request.Router.
 func (s *sender) Report(t request.Target, err error) {
-	var refused *platform.RefusedError
+	var refused *upstream.RefusedError
 	if errors.As(err, &refused) {
 		s.table.Refused(t.ID, t.Incarnation, refused.Refusal)
 	}
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -18,7 +18,7 @@
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/settings"
 	"hibiscuslane.example/hibiscuslane/site"
@@ -57,7 +57,7 @@
 	require.NoError(t, err)
 	c := &cluster{t: t, platform: server, retention: settings.DefaultRetention}
 	for i := range 5 * len(centres) {
-		machine, err := target.Start(target.Options{Listing: platform.Listing{
+		machine, err := target.Start(target.Options{Listing: upstream.Listing{
 			ID: instance.ID(fmt.Sprint("target-", i)), Centre: centres[i%3], Rack: site.Rack(fmt.Sprint("rack-", i%3)),
 		}, Restart: 100 * time.Millisecond})
 		require.NoError(t, err)
@@ -80,8 +80,8 @@
 	}
 	e, err := New(s, Options{Events: event.NewLog(c.t.Output(), "entry", "info", event.FormatText)})
 	require.NoError(c.t, err)
-	c.platform.Directory.AddEntry(platform.Listing{
-		ID: id, Kind: instance.KindEntry, Centre: centre, Address: e.Addresses().Peers, State: platform.StateLive, Incarnation: 1,
+	c.platform.Directory.AddEntry(upstream.Listing{
+		ID: id, Kind: instance.KindEntry, Centre: centre, Address: e.Addresses().Peers, State: upstream.StateLive, Incarnation: 1,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{Entry: e, stop: cancel, done: make(chan error, 1)}
@@ -172,7 +172,7 @@
 	old := c.entries[i]
 	old.stop()
 	require.NoError(c.t, <-old.done)
-	listing := platform.Listing{ID: old.self.Entry, Kind: instance.KindEntry}
+	listing := upstream.Listing{ID: old.self.Entry, Kind: instance.KindEntry}
 	c.platform.Directory.Set(listing, false)
 	c.entries = slices.Delete(c.entries, i, i+1)
 	c.start(old.self.Entry+"x", old.settings.Centre)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,7 +23,7 @@
 	"hibiscuslane.example/hibiscuslane/member"
 	"hibiscuslane.example/hibiscuslane/metric"
 	"hibiscuslane.example/hibiscuslane/peer"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/request"
 	"hibiscuslane.example/hibiscuslane/retry"
@@ -65,7 +65,7 @@
 	timer    *timer.Service
 	events   event.Log
 
-	platform *platform.Client
+	platform *upstream.Client
 	clients  peer.Clients
 	group    *member.Group
 	channels map[record.Stream]*channel
@@ -142,7 +142,7 @@
 	e := &Entry{
 		settings: s, timer: o.Timer, events: o.Events.With("entry", s.ID),
 		self:     record.Writer{Entry: s.ID, Incarnation: incarnation},
-		platform: &platform.Client{Base: s.Platform.Base, HTTP: newPlatformHTTP()},
+		platform: &upstream.Client{Base: s.Platform.Base, HTTP: newPlatformHTTP()},
 		config:   &config.State{}, fleet: &fleet.State{}, claims: &claim.State{}, jobs: &job.State{},
 	}
 	e.group = &member.Group{
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -3,7 +3,7 @@
 import (
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/job"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/team"
 )
@@ -23,8 +23,8 @@
 	return &job.Runner{
 		State: e.jobs, Fleet: e.fleet, Proposer: jobs.proposer, Follower: jobs.follower, Ranker: e.group,
 		Teams: e.teams,
-		Dial: func(address instance.Address) platform.Worker {
-			return &platform.WorkerClient{Address: address, HTTP: http}
+		Dial: func(address instance.Address) upstream.Worker {
+			return &upstream.WorkerClient{Address: address, HTTP: http}
 		},
 		Timer:  e.timer,
 		Events: e.events,
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	standin "hibiscuslane.example/hibiscuslane/standin/platform"
 	"hibiscuslane.example/hibiscuslane/standin/target"
 )
@@ -33,7 +33,7 @@
 	require.NotNil(t, leaving)
 	require.Eventually(t, func() bool { return len(leaving.Journal()) > 0 }, patience, time.Millisecond)
 	listing := leaving.Listing()
-	listing.State = platform.StateLeaving
+	listing.State = upstream.StateLeaving
 	c.platform.Directory.Set(listing, true)
 	left := time.Now()
 	for _, n := range c.entries {
--- a/entry/process_test.go
+++ b/entry/process_test.go
@@ -24,7 +24,7 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/settings"
@@ -96,8 +96,8 @@
 		sites[n] = map[string]any{}
 	}
 	var bodies []fleet.Body
-	add := func(l platform.Listing, name pool.Name) {
-		l.Incarnation, l.State = 1, platform.StateLive
+	add := func(l upstream.Listing, name pool.Name) {
+		l.Incarnation, l.State = 1, upstream.StateLive
 		server.Directory.Set(l, true)
 		bodies = append(bodies, &fleet.Admit{
 			Subject: fleet.Subject{ID: l.ID}, Type: l.Kind, Pool: name, Incarnation: 1, Address: l.Address,
@@ -110,14 +110,14 @@
 		counts[fmt.Sprint(centre, "/", name)]++
 		workers := counts[fmt.Sprint(centre, "/", name)]
 		sites[centre][name] = map[string]any{"size": map[string]int{"workers": workers}, "budget": map[string]int{"workers": workers * 3 / 4}}
-		add(platform.Listing{
+		add(upstream.Listing{
 			ID: instance.ID(fmt.Sprintf("worker-%06d", n)), Kind: instance.KindWorker, Address: "127.0.0.1:1",
 			Centre: processCentre(centre), Rack: site.Rack(fmt.Sprint("rack-", n/processSites/4)), Cores: 32, Memory: 128 << 10,
 		}, pool.Name(name))
 	}
 	sites[0]["web"] = map[string]any{"size": map[string]int{"targets": processTargets}, "budget": map[string]int{"targets": 1}}
 	for n := range processTargets {
-		l := platform.Listing{ID: instance.ID(fmt.Sprint("target-", n)), Kind: instance.KindTarget, Centre: processCentre(0), Rack: "web"}
+		l := upstream.Listing{ID: instance.ID(fmt.Sprint("target-", n)), Kind: instance.KindTarget, Centre: processCentre(0), Rack: "web"}
 		machine, err := target.Start(target.Options{Listing: l})
 		require.NoError(b, err)
 		b.Cleanup(func() { _ = machine.Close() })
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -9,7 +9,7 @@
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/member"
 	"hibiscuslane.example/hibiscuslane/peer"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/snapshot"
 	"hibiscuslane.example/hibiscuslane/stream"
@@ -34,7 +34,7 @@
 
 // channelParts is what all channels of an entry share.
 type channelParts struct {
-	log     platform.Log
+	log     upstream.Log
 	writer  record.Writer
 	timer   *timer.Service
 	events  event.Log
--- a/job/bench_test.go
+++ b/job/bench_test.go
@@ -11,7 +11,7 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/team"
@@ -51,7 +51,7 @@
 	case 2:
 		return &Start{Attempt{id, 1}}
 	}
-	return finish(id, 1, platform.TaskDone)
+	return finish(id, 1, upstream.TaskDone)
 }
 
 // BenchmarkFold measures the fold of one record over whole jobs, the bytes of state per open job, and
--- a/job/fixture_test.go
+++ b/job/fixture_test.go
@@ -17,7 +17,7 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/site"
@@ -80,7 +80,7 @@
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 	// wrap may replace the interface of the worker at an address.
-	wrap func(instance.Address, platform.Worker) platform.Worker
+	wrap func(instance.Address, upstream.Worker) upstream.Worker
 }
 
 func newWorld(t *testing.T, workers int) *world {
@@ -102,7 +102,7 @@
 	centre, rackName := site.DataCentre(fmt.Sprint("c", n%3)), site.Rack(fmt.Sprint("r", n/4))
 	emulated, err := worker.Start(worker.Options{
 		ID: id, Timer: &w.manual.Service, Checkpoints: w.saved, Lag: 500 * time.Millisecond,
-		Listing: platform.Listing{Centre: centre, Rack: rackName, Accelerators: 2},
+		Listing: upstream.Listing{Centre: centre, Rack: rackName, Accelerators: 2},
 	})
 	require.NoError(w.t, err)
 	w.t.Cleanup(func() { _ = emulated.Close() })
@@ -185,8 +185,8 @@
 	})
 }
 
-func (e *entry) dial(address instance.Address) platform.Worker {
-	var client platform.Worker = &filter{Worker: &platform.WorkerClient{Address: address}, around: e.world.count}
+func (e *entry) dial(address instance.Address) upstream.Worker {
+	var client upstream.Worker = &filter{Worker: &upstream.WorkerClient{Address: address}, around: e.world.count}
 	e.world.mu.Lock()
 	defer e.world.mu.Unlock()
 	if e.wrap != nil {
@@ -197,27 +197,27 @@
 
 // filter passes each call through around.
 type filter struct {
-	platform.Worker
+	upstream.Worker
 	around func(call string, do func() error) error
 }
 
-func (f *filter) Start(ctx context.Context, task platform.Task) error {
+func (f *filter) Start(ctx context.Context, task upstream.Task) error {
 	return f.around("start", func() error { return f.Worker.Start(ctx, task) })
 }
 
-func (f *filter) Renew(ctx context.Context, task platform.TaskID, epoch platform.Epoch, lease time.Duration) error {
+func (f *filter) Renew(ctx context.Context, task upstream.TaskID, epoch upstream.Epoch, lease time.Duration) error {
 	return f.around("renew", func() error { return f.Worker.Renew(ctx, task, epoch, lease) })
 }
 
-func (f *filter) Stop(ctx context.Context, task platform.TaskID, epoch platform.Epoch) error {
+func (f *filter) Stop(ctx context.Context, task upstream.TaskID, epoch upstream.Epoch) error {
 	return f.around("stop", func() error { return f.Worker.Stop(ctx, task, epoch) })
 }
 
-func (f *filter) Checkpoint(ctx context.Context, task platform.TaskID, epoch platform.Epoch) error {
+func (f *filter) Checkpoint(ctx context.Context, task upstream.TaskID, epoch upstream.Epoch) error {
 	return f.around("checkpoint", func() error { return f.Worker.Checkpoint(ctx, task, epoch) })
 }
 
-func (f *filter) Tasks(ctx context.Context) (tasks []platform.TaskStatus, err error) {
+func (f *filter) Tasks(ctx context.Context) (tasks []upstream.TaskStatus, err error) {
 	err = f.around("tasks", func() error {
 		tasks, err = f.Worker.Tasks(ctx)
 		return err
@@ -232,7 +232,7 @@
 	return do()
 }
 
-func (e *entry) setWrap(wrap func(instance.Address, platform.Worker) platform.Worker) {
+func (e *entry) setWrap(wrap func(instance.Address, upstream.Worker) upstream.Worker) {
 	e.world.mu.Lock()
 	defer e.world.mu.Unlock()
 	e.wrap = wrap
--- a/job/history.go
+++ b/job/history.go
@@ -5,7 +5,7 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 )
 
@@ -24,7 +24,7 @@
 	Count  int                `json:"count,omitempty"`
 	Epoch  Epoch              `json:"epoch,omitempty"`
 	Worker instance.ID        `json:"worker,omitempty"`
-	State  platform.TaskState `json:"state,omitempty"`
+	State  upstream.TaskState `json:"state,omitempty"`
 	Reason string             `json:"reason,omitempty"`
 }
 
--- a/job/input.go
+++ b/job/input.go
@@ -5,7 +5,7 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/team"
 )
@@ -33,7 +33,7 @@
 	// Held holds the jobs whose attempt on this worker has not ended.
 	Held []Job
 	// Reported is the last report of its tasks that this entry has seen. It lags.
-	Reported map[ID]platform.TaskStatus
+	Reported map[ID]upstream.TaskStatus
 	// Proven says that it has completed a job in its incarnation.
 	Proven bool
 	// Suspect is set if it seems to fail everything it starts.
--- a/job/job.go
+++ b/job/job.go
@@ -3,7 +3,7 @@
 import (
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/team"
@@ -13,7 +13,7 @@
 type ID string
 
 // Epoch counts the attempts of a job, starting at 1.
-type Epoch = platform.Epoch
+type Epoch = upstream.Epoch
 
 // Status is the state of a job.
 type Status string
--- a/job/plan_test.go
+++ b/job/plan_test.go
@@ -11,7 +11,7 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/site"
 	"hibiscuslane.example/hibiscuslane/team"
 )
@@ -129,7 +129,7 @@
 		}, []string{"place b on w01"}},
 		{"reported memory counts", 2, func(in *Input) {
 			in.hold(0, "r", nil)
-			in.Workers[0].Reported = map[ID]platform.TaskStatus{"r": {Epoch: 1, Memory: 65000}}
+			in.Workers[0].Reported = map[ID]upstream.TaskStatus{"r": {Epoch: 1, Memory: 65000}}
 			in.hold(1, "s", nil)
 			in.hold(1, "s2", nil)
 			in.queue("a", nil)
--- a/job/record.go
+++ b/job/record.go
@@ -6,7 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 )
 
@@ -77,7 +77,7 @@
 type Finish struct {
 	Attempt
 	// State is done, failed, stopped or lapsed.
-	State  platform.TaskState `json:"state"`
+	State  upstream.TaskState `json:"state"`
 	Output string             `json:"output,omitempty"`
 	Reason string             `json:"reason,omitempty"`
 	// Cores and Memory (MB) are the highest reported usage; 0 means that none was reported.
--- a/job/runner.go
+++ b/job/runner.go
@@ -12,7 +12,7 @@
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
@@ -79,7 +79,7 @@
 	// Teams returns the teams in force.
 	Teams func() map[team.Name]team.Spec
 	// Dial returns the task interface of the worker at an address.
-	Dial   func(address instance.Address) platform.Worker
+	Dial   func(address instance.Address) upstream.Worker
 	Timer  *timer.Service
 	Events event.Log
 	// Author is the id of the entry.
--- a/job/runner_test.go
+++ b/job/runner_test.go
@@ -11,13 +11,13 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/standin/appendlog"
 )
 
 // lost is an answer that is lost after the effect of the call.
-var lost = &platform.CallError{Call: "test", Cause: &platform.StatusError{Status: 502}}
+var lost = &upstream.CallError{Call: "test", Cause: &upstream.StatusError{Status: 502}}
 
 // TestRun guards against a job that is not placed, started, finished or readable.
 func TestRun(t *testing.T) {
@@ -40,7 +40,7 @@
 	e := w.ready("entry-1")
 	var mu sync.Mutex
 	calls := map[string]int{}
-	e.setWrap(func(_ instance.Address, client platform.Worker) platform.Worker {
+	e.setWrap(func(_ instance.Address, client upstream.Worker) upstream.Worker {
 		return &filter{Worker: client, around: func(call string, do func() error) error {
 			err := do()
 			mu.Lock()
@@ -74,13 +74,13 @@
 	resume := make(chan struct{})
 	unpause := sync.OnceFunc(func() { close(resume) })
 	t.Cleanup(unpause)
-	first.setWrap(func(_ instance.Address, client platform.Worker) platform.Worker {
+	first.setWrap(func(_ instance.Address, client upstream.Worker) upstream.Worker {
 		return &filter{Worker: client, around: func(_ string, do func() error) error {
 			<-resume
 			return do()
 		}}
 	})
-	second.setWrap(func(address instance.Address, client platform.Worker) platform.Worker {
+	second.setWrap(func(address instance.Address, client upstream.Worker) upstream.Worker {
 		return &filter{Worker: client, around: func(_ string, do func() error) error {
 			if address == holder {
 				return lost
@@ -229,7 +229,7 @@
 	took := submit(12, small)
 	fails := 0
 	for _, r := range w.workers["worker-0"].Journal() {
-		if r.State == platform.TaskFailed {
+		if r.State == upstream.TaskFailed {
 			fails++
 		}
 	}
--- a/job/shard.go
+++ b/job/shard.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // shards keeps what this entry knows of each worker besides the log. Each worker has its own lock.
@@ -27,7 +27,7 @@
 	polled, reached, renewed time.Time
 	failing                  bool
 	// reports holds the last report of each task.
-	reports map[ID]platform.TaskStatus
+	reports map[ID]upstream.TaskStatus
 	// starts holds what became of the calls to start a task.
 	starts map[Attempt]startState
 	// evicted holds the evictions that were tried.
@@ -48,7 +48,7 @@
 	first time.Time
 	// refused is the word of the last refusal; empty if the last call was accepted or its effect is not
 	// known.
-	refused platform.Refusal
+	refused upstream.Refusal
 }
 
 func (s *shards) get(id instance.ID) *shard {
@@ -59,7 +59,7 @@
 	}
 	w, ok := s.workers[id]
 	if !ok {
-		w = &shard{reports: map[ID]platform.TaskStatus{}, starts: map[Attempt]startState{}, evicted: map[Attempt]triedEviction{}}
+		w = &shard{reports: map[ID]upstream.TaskStatus{}, starts: map[Attempt]startState{}, evicted: map[Attempt]triedEviction{}}
 		s.workers[id] = w
 	}
 	return w
@@ -81,7 +81,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, report := range w.reports {
-		if report.State == platform.TaskRunning {
+		if report.State == upstream.TaskRunning {
 			return true
 		}
 	}
@@ -100,11 +100,11 @@
 }
 
 // view returns the last reports of the held jobs, and adds their evictions to evicted.
-func (s *shards) view(id instance.ID, now time.Time, held []Job, evicted map[Attempt]Eviction) map[ID]platform.TaskStatus {
+func (s *shards) view(id instance.ID, now time.Time, held []Job, evicted map[Attempt]Eviction) map[ID]upstream.TaskStatus {
 	w := s.get(id)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	reports := make(map[ID]platform.TaskStatus, len(held))
+	reports := make(map[ID]upstream.TaskStatus, len(held))
 	kept := make(map[Attempt]triedEviction, len(w.evicted))
 	for _, j := range held {
 		if report, ok := w.reports[j.ID]; ok {
@@ -127,7 +127,7 @@
 	if !owner {
 		// Another entry acts on the worker, so what was seen of it here goes out of date.
 		w.owned = time.Time{}
-		w.reports = map[ID]platform.TaskStatus{}
+		w.reports = map[ID]upstream.TaskStatus{}
 		w.starts = map[Attempt]startState{}
 		return false
 	}
@@ -167,7 +167,7 @@
 func (w *shard) lost() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.reports = map[ID]platform.TaskStatus{}
+	w.reports = map[ID]upstream.TaskStatus{}
 }
 
 // fresh reports whether an attempt waits for its first call.
@@ -190,7 +190,7 @@
 }
 
 // note records the result of a call to start an attempt.
-func (w *shard) note(a Attempt, now time.Time, refused platform.Refusal) {
+func (w *shard) note(a Attempt, now time.Time, refused upstream.Refusal) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	s, ok := w.starts[a]
--- a/job/state.go
+++ b/job/state.go
@@ -8,7 +8,7 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
@@ -241,14 +241,14 @@
 		return verdict
 	}
 	switch b.State {
-	case platform.TaskDone:
+	case upstream.TaskDone:
 		s.evidence.succeed(at, j, b)
 		s.endLocked(at, j, StatusDone, Result{Output: b.Output})
-	case platform.TaskFailed:
+	case upstream.TaskFailed:
 		s.failLocked(at, j, b)
-	case platform.TaskStopped, platform.TaskLapsed:
+	case upstream.TaskStopped, upstream.TaskLapsed:
 		s.retryLocked(at, j, StatusFailed, Result{Reason: string(b.State) + ": " + b.Reason})
-	case platform.TaskRunning:
+	case upstream.TaskRunning:
 	}
 	return stream.Applied
 }
--- a/job/state_test.go
+++ b/job/state_test.go
@@ -10,7 +10,7 @@
 	"pgregory.net/rapid"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
 )
@@ -48,7 +48,7 @@
 	return &Place{Attempt: Attempt{id, epoch}, Worker: on, Incarnation: 1, Size: Size{Cores: 4, Memory: 1024}}
 }
 
-func finish(id ID, epoch Epoch, state platform.TaskState) *Finish {
+func finish(id ID, epoch Epoch, state upstream.TaskState) *Finish {
 	return &Finish{Attempt: Attempt{id, epoch}, State: state, Reason: "exit 1"}
 }
 
@@ -75,7 +75,7 @@
 	case 6, 7:
 		return &Start{Attempt{id, epoch}}
 	case 8, 9:
-		state := rapid.SampledFrom([]platform.TaskState{platform.TaskDone, platform.TaskFailed, platform.TaskStopped, platform.TaskLapsed}).Draw(t, "state")
+		state := rapid.SampledFrom([]upstream.TaskState{upstream.TaskDone, upstream.TaskFailed, upstream.TaskStopped, upstream.TaskLapsed}).Draw(t, "state")
 		f := finish(id, epoch, state)
 		f.Memory = rapid.IntRange(0, 2000).Draw(t, "memory")
 		return f
@@ -209,7 +209,7 @@
 func (h *fixture) busy(workers ...instance.ID) {
 	for _, w := range workers {
 		id := ID(fmt.Sprint("ok", h.next))
-		h.apply(submit(id, "good "+string(w), 1), place(id, 1, w), finish(id, 1, platform.TaskDone))
+		h.apply(submit(id, "good "+string(w), 1), place(id, 1, w), finish(id, 1, upstream.TaskDone))
 	}
 }
 
@@ -220,7 +220,7 @@
 	}
 	for _, w := range workers {
 		j, _ := h.state.Job(id)
-		h.apply(place(id, j.Epoch+1, w), finish(id, j.Epoch+1, platform.TaskFailed))
+		h.apply(place(id, j.Epoch+1, w), finish(id, j.Epoch+1, upstream.TaskFailed))
 	}
 }
 
@@ -274,17 +274,17 @@
 			h.busy("w2")
 			h.fail("j", "a", "w1")
 			h.fail("k", "a", "w1")
-			h.apply(place("j", 2, "w2"), finish("j", 2, platform.TaskDone), place("k", 2, "w2"), finish("k", 2, platform.TaskDone))
+			h.apply(place("j", 2, "w2"), finish("j", 2, upstream.TaskDone), place("k", 2, "w2"), finish("k", 2, upstream.TaskDone))
 		}, StatusDone, []instance.ID{"w1"}},
 		{"out of memory tells nothing about the worker or the job", func(h *fixture) {
 			h.busy("w1", "w2", "w3")
 			for n, w := range []instance.ID{"w1", "w2", "w3", "w1", "w1", "w1"} {
 				id := ID(fmt.Sprint("k", n))
-				h.apply(submit(id, string(id), 2), place(id, 1, w), &Finish{Attempt: Attempt{id, 1}, State: platform.TaskFailed, Reason: memoryReason})
+				h.apply(submit(id, string(id), 2), place(id, 1, w), &Finish{Attempt: Attempt{id, 1}, State: upstream.TaskFailed, Reason: memoryReason})
 			}
 			h.apply(submit("j", "a", 9))
 			for n, w := range []instance.ID{"w1", "w2", "w3"} {
-				h.apply(place("j", Epoch(n+1), w), &Finish{Attempt: Attempt{"j", Epoch(n + 1)}, State: platform.TaskFailed, Reason: memoryReason})
+				h.apply(place("j", Epoch(n+1), w), &Finish{Attempt: Attempt{"j", Epoch(n + 1)}, State: upstream.TaskFailed, Reason: memoryReason})
 			}
 		}, StatusQueued, nil},
 		{"a success clears the worker", func(h *fixture) {
@@ -309,7 +309,7 @@
 			h.fail("j2", "bad", "w1", "w2", "w3")
 			require.Equal(h.t, StatusQueued, h.status("j2"), "w1 tells nothing about a job")
 			h.fail("j2", "bad", "w4")
-			h.apply(place("k", 2, "w2"), finish("k", 2, platform.TaskDone))
+			h.apply(place("k", 2, "w2"), finish("k", 2, upstream.TaskDone))
 		}, StatusFailed, []instance.ID{"w1"}},
 	}
 	for _, test := range tests {
@@ -354,7 +354,7 @@
 func TestUsage(t *testing.T) {
 	h := &fixture{t: t, state: &State{}}
 	done := func(id ID, memory int) {
-		f := finish(id, 1, platform.TaskDone)
+		f := finish(id, 1, upstream.TaskDone)
 		f.Memory, f.Cores = memory, 1
 		h.apply(submit(id, "x", 1), place(id, 1, "w"), f)
 	}
@@ -372,14 +372,14 @@
 		done(ID(fmt.Sprint("e", n)), 100)
 	}
 	require.Less(t, size(), 150, "the declared size is far too large")
-	h.apply(submit("f", "x", 2), place("f", 1, "w"), &Finish{Attempt: Attempt{"f", 1}, State: platform.TaskFailed, Reason: memoryReason})
+	h.apply(submit("f", "x", 2), place("f", 1, "w"), &Finish{Attempt: Attempt{"f", 1}, State: upstream.TaskFailed, Reason: memoryReason})
 	require.Equal(t, 1844, size(), "out of memory with 1024 MB reserved")
 }
 
 // FuzzFold guards against a record body that panics, breaks a snapshot, or changes the state although it
 // is refused.
 func FuzzFold(f *testing.F) {
-	for _, body := range []Body{submit("a", "x", 1), place("z", 1, "w"), &Start{Attempt{"y", 1}}, finish("y", 1, platform.TaskDone), &Lapse{Attempt: Attempt{"y", 1}}, &Cancel{IDs: []ID{"y", "z"}}, &Quarantine{Worker: "w"}, &Restore{Worker: "w"}} {
+	for _, body := range []Body{submit("a", "x", 1), place("z", 1, "w"), &Start{Attempt{"y", 1}}, finish("y", 1, upstream.TaskDone), &Lapse{Attempt: Attempt{"y", 1}}, &Cancel{IDs: []ID{"y", "z"}}, &Quarantine{Worker: "w"}, &Restore{Worker: "w"}} {
 		data, _ := json.Marshal(body)
 		f.Add(string(body.Kind()), data)
 	}
--- a/job/validate.go
+++ b/job/validate.go
@@ -5,7 +5,7 @@
 	"math"
 	"unicode/utf8"
 
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 func checkText(field, text string, least, most int) error {
@@ -90,7 +90,7 @@
 		return err
 	}
 	switch b.State {
-	case platform.TaskDone, platform.TaskFailed, platform.TaskStopped, platform.TaskLapsed:
+	case upstream.TaskDone, upstream.TaskFailed, upstream.TaskStopped, upstream.TaskLapsed:
 	default:
 		return &FieldError{Field: "state", Rule: "must be done, failed, stopped or lapsed"}
 	}
--- a/job/work.go
+++ b/job/work.go
@@ -8,7 +8,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 const (
@@ -55,10 +55,10 @@
 type visit struct {
 	*shard
 	id     instance.ID
-	worker platform.Worker
+	worker upstream.Worker
 	held   []Job
 	// reports holds what the worker has reported in this round.
-	reports map[ID]platform.TaskStatus
+	reports map[ID]upstream.TaskStatus
 }
 
 // serve polls a worker, renews its leases, and acts on what its tasks have become.
@@ -143,8 +143,8 @@
 }
 
 // merge returns the reports with the highest usage seen of each attempt.
-func merge(old map[ID]platform.TaskStatus, tasks []platform.TaskStatus) map[ID]platform.TaskStatus {
-	reports := make(map[ID]platform.TaskStatus, len(tasks))
+func merge(old map[ID]upstream.TaskStatus, tasks []upstream.TaskStatus) map[ID]upstream.TaskStatus {
+	reports := make(map[ID]upstream.TaskStatus, len(tasks))
 	for _, t := range tasks {
 		if before, ok := old[ID(t.Task)]; ok && before.Epoch == t.Epoch {
 			t.Cores = max(t.Cores, before.Cores)
@@ -169,12 +169,12 @@
 		return
 	}
 	for _, j := range v.held {
-		if report, ok := v.reports[j.ID]; !ok || report.Epoch != j.Epoch || report.State != platform.TaskRunning {
+		if report, ok := v.reports[j.ID]; !ok || report.Epoch != j.Epoch || report.State != upstream.TaskRunning {
 			continue
 		}
 		group.Go(func() error {
 			_ = r.call(ctx, v.id, func(ctx context.Context) error {
-				return v.worker.Renew(ctx, platform.TaskID(j.ID), j.Epoch, Lease)
+				return v.worker.Renew(ctx, upstream.TaskID(j.ID), j.Epoch, Lease)
 			})
 			return nil
 		})
@@ -221,7 +221,7 @@
 	switch {
 	case ok && report.Epoch > j.Epoch:
 		// The state of this entry is behind.
-	case ok && report.Epoch == j.Epoch && report.State != platform.TaskRunning:
+	case ok && report.Epoch == j.Epoch && report.State != upstream.TaskRunning:
 		r.finish(ctx, j, report)
 	case ok && report.Epoch == j.Epoch:
 		if j.Status == StatusPlaced {
@@ -234,7 +234,7 @@
 	}
 }
 
-func (r *Runner) finish(ctx context.Context, j Job, report platform.TaskStatus) {
+func (r *Runner) finish(ctx context.Context, j Job, report upstream.TaskStatus) {
 	r.propose(ctx, &Finish{
 		Attempt: j.attempt(), State: report.State, Output: cut(report.Output, MaxOutput), Reason: cut(report.Reason, maxReason),
 		Cores: report.Cores, Memory: report.Memory,
@@ -253,7 +253,7 @@
 	}
 	now := r.Timer.Now()
 	err := r.call(ctx, v.id, func(ctx context.Context) error { return v.worker.Start(ctx, task(j)) })
-	var refused *platform.RefusedError
+	var refused *upstream.RefusedError
 	if errors.As(err, &refused) {
 		v.note(j.attempt(), now, refused.Refusal)
 		return
@@ -264,9 +264,9 @@
 	}
 }
 
-func task(j Job) platform.Task {
-	return platform.Task{
-		Task: platform.TaskID(j.ID), Epoch: j.Epoch, Incarnation: j.Placement.Incarnation, Lease: Lease.Milliseconds(),
+func task(j Job) upstream.Task {
+	return upstream.Task{
+		Task: upstream.TaskID(j.ID), Epoch: j.Epoch, Incarnation: j.Placement.Incarnation, Lease: Lease.Milliseconds(),
 		Cores: j.Placement.Cores, Memory: j.Placement.Memory, Accelerators: j.Placement.Accelerators,
 		Command: j.Command, Input: j.Input,
 	}
@@ -278,12 +278,12 @@
 	switch before.refused {
 	case "":
 		return false
-	case platform.RefusedFull:
+	case upstream.RefusedFull:
 		if r.Timer.Now().Sub(before.first) < fullPatience {
 			return false
 		}
-	case platform.RefusedInvalid:
-		return r.propose(ctx, &Finish{Attempt: j.attempt(), State: platform.TaskFailed, Reason: "the worker refused the task as invalid"})
+	case upstream.RefusedInvalid:
+		return r.propose(ctx, &Finish{Attempt: j.attempt(), State: upstream.TaskFailed, Reason: "the worker refused the task as invalid"})
 	default:
 		// Any other refusal is final for this epoch and incarnation.
 	}
@@ -296,7 +296,7 @@
 // not, its lease expires.
 func (r *Runner) stopOrphans(ctx context.Context, v *visit, group *errgroup.Group) {
 	for id, report := range v.reports {
-		if report.State != platform.TaskRunning {
+		if report.State != upstream.TaskRunning {
 			continue
 		}
 		j, ok := r.State.Job(id)
@@ -306,7 +306,7 @@
 		group.Go(func() error {
 			r.Events.Info(eventOrphan, "worker", v.id, "job", id, "epoch", report.Epoch, "status", j.Status)
 			_ = r.call(ctx, v.id, func(ctx context.Context) error {
-				return v.worker.Stop(ctx, platform.TaskID(id), report.Epoch)
+				return v.worker.Stop(ctx, upstream.TaskID(id), report.Epoch)
 			})
 			return nil
 		})
@@ -322,7 +322,7 @@
 	}
 	worker := r.Dial(i.Address)
 	err := r.call(ctx, e.Worker, func(ctx context.Context) error { return giveWay(ctx, worker, e) })
-	var refused *platform.RefusedError
+	var refused *upstream.RefusedError
 	if err != nil && !errors.As(err, &refused) {
 		return
 	}
@@ -338,14 +338,14 @@
 		return
 	}
 	for _, t := range tasks {
-		if ID(t.Task) == e.ID && t.Epoch == e.Epoch && t.State != platform.TaskRunning {
+		if ID(t.Task) == e.ID && t.Epoch == e.Epoch && t.State != upstream.TaskRunning {
 			r.finish(ctx, j, t)
 		}
 	}
 }
 
-func giveWay(ctx context.Context, worker platform.Worker, e Evict) error {
-	switch id := platform.TaskID(e.ID); e.Verb {
+func giveWay(ctx context.Context, worker upstream.Worker, e Evict) error {
+	switch id := upstream.TaskID(e.ID); e.Verb {
 	case VerbCheckpoint:
 		return worker.Checkpoint(ctx, id, e.Epoch)
 	case VerbThrottle:
--- a/member/bench_test.go
+++ b/member/bench_test.go
@@ -14,7 +14,7 @@
 
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/peer"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // wire counts the bytes of connections in both directions.
@@ -81,9 +81,9 @@
 }
 
 // serveAll serves the peers of entry-000, each at its own address.
-func serveAll(b *testing.B, entries int) (*wire, []platform.Listing) {
+func serveAll(b *testing.B, entries int) (*wire, []upstream.Listing) {
 	w := &wire{}
-	var list []platform.Listing
+	var list []upstream.Listing
 	for n := 1; n < entries; n++ {
 		open, err := net.Listen("tcp", "127.0.0.1:0")
 		require.NoError(b, err)
@@ -91,7 +91,7 @@
 		server := peer.NewServer(peer.NewHandler(peer.Service{Reporter: reporter{id}}))
 		go func() { _ = server.Serve(&listener{Listener: open, wire: w}) }()
 		b.Cleanup(func() { _ = server.Close() })
-		list = append(list, platform.Listing{ID: id, Kind: instance.KindEntry, Address: instance.Address(open.Addr().String())})
+		list = append(list, upstream.Listing{ID: id, Kind: instance.KindEntry, Address: instance.Address(open.Addr().String())})
 	}
 	return w, list
 }
@@ -120,9 +120,9 @@
 	for _, entries := range []int{9, 30, 100} {
 		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
 			g := &Group{Self: "entry-000", Clients: &peer.Clients{}}
-			var list []platform.Listing
+			var list []upstream.Listing
 			for n := 1; n < entries; n++ {
-				list = append(list, platform.Listing{ID: instance.ID(fmt.Sprintf("entry-%03d", n)), Kind: instance.KindEntry})
+				list = append(list, upstream.Listing{ID: instance.ID(fmt.Sprintf("entry-%03d", n)), Kind: instance.KindEntry})
 			}
 			g.SetList(list)
 			for _, l := range list {
--- a/member/member.go
+++ b/member/member.go
@@ -14,7 +14,7 @@
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/peer"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
 
@@ -40,7 +40,7 @@
 type Group struct {
 	// Self is the id of this entry.
 	Self      instance.ID
-	Directory platform.Directory
+	Directory upstream.Directory
 	Clients   *peer.Clients
 	Timer     *timer.Service
 	Events    event.Log
@@ -52,7 +52,7 @@
 	started time.Time
 	known   map[instance.ID]*contact
 	// listed is the last list that the platform returned.
-	listed   []platform.Listing
+	listed   []upstream.Listing
 	listedAt time.Time
 	// leaving holds the targets that the list shows as leaving.
 	leaving map[instance.ID]instance.Incarnation
@@ -123,7 +123,7 @@
 }
 
 // SetList replaces the platform's list.
-func (g *Group) SetList(list []platform.Listing) {
+func (g *Group) SetList(list []upstream.Listing) {
 	g.mu.Lock()
 	g.listed, g.listedAt, g.stranger = list, g.Timer.Now(), false
 	g.noteLeavingLocked(list)
@@ -154,10 +154,10 @@
 }
 
 // noteLeavingLocked takes up which targets the list shows as leaving.
-func (g *Group) noteLeavingLocked(list []platform.Listing) {
+func (g *Group) noteLeavingLocked(list []upstream.Listing) {
 	leaving := map[instance.ID]instance.Incarnation{}
 	for _, l := range list {
-		if l.Kind != instance.KindTarget || l.State != platform.StateLeaving {
+		if l.Kind != instance.KindTarget || l.State != upstream.StateLeaving {
 			continue
 		}
 		leaving[l.ID] = l.Incarnation
@@ -335,7 +335,7 @@
 }
 
 // List returns the last list of the platform and when it was read.
-func (g *Group) List() ([]platform.Listing, time.Time) {
+func (g *Group) List() ([]upstream.Listing, time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.listed, g.listedAt
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -11,14 +11,14 @@
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/member"
 	"hibiscuslane.example/hibiscuslane/peer"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
 
-func entries(ids ...instance.ID) []platform.Listing {
-	var list []platform.Listing
+func entries(ids ...instance.ID) []upstream.Listing {
+	var list []upstream.Listing
 	for _, id := range ids {
-		list = append(list, platform.Listing{ID: id, Kind: instance.KindEntry, Address: instance.Address("127.0.0.1:" + id)})
+		list = append(list, upstream.Listing{ID: id, Kind: instance.KindEntry, Address: instance.Address("127.0.0.1:" + id)})
 	}
 	return list
 }
--- a/planner/bench_test.go
+++ b/planner/bench_test.go
@@ -8,7 +8,7 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/site"
 )
@@ -78,8 +78,8 @@
 		}
 		i.Since = i.Joined
 		in.Fleet = append(in.Fleet, i)
-		in.List = append(in.List, platform.Listing{
-			ID: i.ID, Kind: i.Kind, Address: i.Address, Incarnation: 1, Centre: i.Centre, Rack: i.Rack, State: platform.StateLive,
+		in.List = append(in.List, upstream.Listing{
+			ID: i.ID, Kind: i.Kind, Address: i.Address, Incarnation: 1, Centre: i.Centre, Rack: i.Rack, State: upstream.StateLive,
 		})
 		if missing && n%100 == 0 {
 			in.Missing[i.ID] = 2 * silenceLimit
--- a/planner/choose.go
+++ b/planner/choose.go
@@ -7,12 +7,12 @@
 	"slices"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/site"
 )
 
-func siteOf(listing platform.Listing) site.Name { return site.Name(listing.Centre) }
+func siteOf(listing upstream.Listing) site.Name { return site.Name(listing.Centre) }
 
 // sorted returns the groups of a kind in a fixed order. Groups without settings are left out unless
 // they have members.
--- a/planner/experiment_test.go
+++ b/planner/experiment_test.go
@@ -18,7 +18,7 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/site"
 	"hibiscuslane.example/hibiscuslane/stream"
@@ -259,7 +259,7 @@
 // serves reports whether an instance takes work, whatever the list says.
 func (e *trial) serves(i fleet.Instance) bool {
 	m := e.byID[i.ID]
-	return i.Phase == instance.PhaseActive && m.up && m.Incarnation == i.Incarnation && m.State == platform.StateLive
+	return i.Phase == instance.PhaseActive && m.up && m.Incarnation == i.Incarnation && m.State == upstream.StateLive
 }
 
 func (e *trial) serving(g group) int {
--- a/planner/input.go
+++ b/planner/input.go
@@ -9,7 +9,7 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/site"
 )
@@ -22,7 +22,7 @@
 	// Removed holds the listed instances that were removed from the fleet.
 	Removed map[instance.ID]fleet.Removal
 	// List is the newest list of the platform; it lags.
-	List []platform.Listing
+	List []upstream.Listing
 	// Missing says for how long an instance of the fleet has been absent from successive lists.
 	Missing map[instance.ID]time.Duration
 	// Failing says for how long the entries have reported a target as failing without interruption.
--- a/planner/observe.go
+++ b/planner/observe.go
@@ -6,7 +6,7 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 )
 
@@ -22,12 +22,12 @@
 // presence keeps for how long each instance has been absent from successive lists.
 type presence struct {
 	last   time.Time
-	list   []platform.Listing
+	list   []upstream.Listing
 	absent map[instance.ID]time.Duration
 }
 
 // add takes a new list into account.
-func (p *presence) add(now time.Time, list []platform.Listing, instances []fleet.Instance) {
+func (p *presence) add(now time.Time, list []upstream.Listing, instances []fleet.Instance) {
 	elapsed := period
 	if !p.last.IsZero() {
 		elapsed = min(now.Sub(p.last), listGap)
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -6,7 +6,7 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 )
 
@@ -50,7 +50,7 @@
 }
 
 // stoppedSince reports whether a listed instance runs a life that the fleet has ended, and since when.
-func stoppedSince(in Input, known map[instance.ID]fleet.Instance, listing platform.Listing) (time.Time, bool) {
+func stoppedSince(in Input, known map[instance.ID]fleet.Instance, listing upstream.Listing) (time.Time, bool) {
 	if i, ok := known[listing.ID]; ok {
 		return i.Since.Std(), i.Phase != instance.PhaseActive && listing.Incarnation <= i.Incarnation
 	}
@@ -124,7 +124,7 @@
 // a lost one where it is needed most.
 func (v *view) join() {
 	for _, m := range v.members {
-		if m.Phase == instance.PhaseActive || !m.reborn() || m.listing.State != platform.StateLive {
+		if m.Phase == instance.PhaseActive || !m.reborn() || m.listing.State != upstream.StateLive {
 			continue
 		}
 		name, reason := m.Next, "rebooted for pool "+string(m.Next)
@@ -159,7 +159,7 @@
 
 // welcome counts an arriving instance towards the size of its pool. It gives the pool no headroom for
 // drains until its record has been applied.
-func (v *view) welcome(to group, listing platform.Listing) {
+func (v *view) welcome(to group, listing upstream.Listing) {
 	v.each(to, siteOf(listing), func(t *tally) { t.usable++ })
 	v.racks[rackPlace{group: to, domain: domain{centre: listing.Centre, rack: listing.Rack}}]++
 }
@@ -168,7 +168,7 @@
 // themselves; only then does an instance go to a pool that is short elsewhere, or to a spare pool.
 // Otherwise the first site of a new fleet would fill the pools of all.
 func (v *view) admit() {
-	var left []platform.Listing
+	var left []upstream.Listing
 	for _, listing := range v.in.List {
 		if !v.admissible(listing) {
 			continue
@@ -188,8 +188,8 @@
 	}
 }
 
-func (v *view) admissible(listing platform.Listing) bool {
-	if v.known[listing.ID] || listing.State != platform.StateLive {
+func (v *view) admissible(listing upstream.Listing) bool {
+	if v.known[listing.ID] || listing.State != upstream.StateLive {
 		return false
 	}
 	if listing.Kind != instance.KindTarget && listing.Kind != instance.KindWorker {
@@ -199,7 +199,7 @@
 	return !removed || listing.Incarnation > removal.Incarnation
 }
 
-func (v *view) admitInto(listing platform.Listing, name pool.Name, reason string) {
+func (v *view) admitInto(listing upstream.Listing, name pool.Name, reason string) {
 	body := &fleet.Admit{
 		Subject: fleet.Subject{ID: listing.ID, Version: v.in.Removed[listing.ID].Version, Reason: "new instance: " + reason},
 		Type:    listing.Kind, Pool: name, Incarnation: listing.Incarnation,
--- a/planner/runner.go
+++ b/planner/runner.go
@@ -12,7 +12,7 @@
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/site"
@@ -53,7 +53,7 @@
 // Lister keeps the newest list of the platform; member.Group implements it.
 type Lister interface {
 	// List returns the list and the time at which it was read, which is zero before the first.
-	List() ([]platform.Listing, time.Time)
+	List() ([]upstream.Listing, time.Time)
 }
 
 // Ranker returns the rank of this entry among the live entries for a decision; 0 acts first.
@@ -79,7 +79,7 @@
 type Runner struct {
 	State    *fleet.State
 	Lister   Lister
-	Control  platform.Controller
+	Control  upstream.Controller
 	Proposer Proposer
 	Follower Follower
 	Ranker   Ranker
--- a/planner/runner_test.go
+++ b/planner/runner_test.go
@@ -12,7 +12,7 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/site"
@@ -31,11 +31,11 @@
 	calls    []string
 	refuse   bool
 	listDown bool
-	list     []platform.Listing
+	list     []upstream.Listing
 	listed   time.Time
 }
 
-func (s *surroundings) List() ([]platform.Listing, time.Time) {
+func (s *surroundings) List() ([]upstream.Listing, time.Time) {
 	if !s.listDown {
 		s.list, s.listed = s.w.list(), s.clock.Now()
 	}
@@ -59,7 +59,7 @@
 	defer s.mu.Unlock()
 	s.calls = append(s.calls, fmt.Sprint(verb, " ", id, " ", incarnation))
 	if s.refuse {
-		return &platform.RefusedError{Refusal: platform.RefusedBusy}
+		return &upstream.RefusedError{Refusal: upstream.RefusedBusy}
 	}
 	return nil
 }
@@ -122,7 +122,7 @@
 func TestRank(t *testing.T) {
 	r, s := newRunner(t)
 	s.rank = 1
-	s.w.machines = append(s.w.machines, &machine{up: true, Listing: platform.Listing{ID: "new", Kind: instance.KindWorker, Address: "127.0.0.1:1", Incarnation: 1, Centre: "c1", Rack: "worker-9", State: platform.StateLive}})
+	s.w.machines = append(s.w.machines, &machine{up: true, Listing: upstream.Listing{ID: "new", Kind: instance.KindWorker, Address: "127.0.0.1:1", Incarnation: 1, Centre: "c1", Rack: "worker-9", State: upstream.StateLive}})
 	s.step(r, time.Second, true)
 	s.step(r, time.Second, true)
 	require.Zero(t, s.proposed, "the entry of rank 0 proposes first")
--- a/planner/view.go
+++ b/planner/view.go
@@ -9,7 +9,7 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/site"
 )
@@ -87,7 +87,7 @@
 // member is an instance together with what is known about its health.
 type member struct {
 	fleet.Instance
-	listing platform.Listing
+	listing upstream.Listing
 	listed  bool
 	// sick is how long the instance has shown signs of failure; 0 means none.
 	sick time.Duration
@@ -110,7 +110,7 @@
 type view struct {
 	in      Input
 	members []member
-	listed  map[instance.ID]platform.Listing
+	listed  map[instance.ID]upstream.Listing
 	known   map[instance.ID]bool
 	groups  map[group]*tally
 	places  map[place]*tally
@@ -140,7 +140,7 @@
 func newView(in Input) *view {
 	v := &view{
 		in:     in,
-		listed: make(map[instance.ID]platform.Listing, len(in.List)),
+		listed: make(map[instance.ID]upstream.Listing, len(in.List)),
 		known:  make(map[instance.ID]bool, len(in.Fleet)),
 		groups: map[group]*tally{},
 		places: map[place]*tally{},
@@ -152,7 +152,7 @@
 	}
 	v.declare()
 	v.in.List = slices.Clone(in.List)
-	slices.SortFunc(v.in.List, func(a, b platform.Listing) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(v.in.List, func(a, b upstream.Listing) int { return cmp.Compare(a.ID, b.ID) })
 	for _, listing := range in.List {
 		v.listed[listing.ID] = listing
 	}
@@ -241,7 +241,7 @@
 	if m.reborn() {
 		m.sick = max(m.sick, listLag)
 	}
-	if m.listed && m.listing.State == platform.StateLeaving {
+	if m.listed && m.listing.State == upstream.StateLeaving {
 		// The platform takes the instance away, so no pool waits for it to recover.
 		m.sick = max(m.sick, patienceBase+patienceSpan)
 	}
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -13,7 +13,7 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/site"
@@ -26,7 +26,7 @@
 
 // machine is an instance as it really is.
 type machine struct {
-	platform.Listing
+	upstream.Listing
 	up bool
 	// wakes is when a machine that is down returns; the zero time means never.
 	wakes time.Time
@@ -73,9 +73,9 @@
 				total += size
 			}
 			for n := range total {
-				w.machines = append(w.machines, &machine{up: true, Listing: platform.Listing{
+				w.machines = append(w.machines, &machine{up: true, Listing: upstream.Listing{
 					ID: instance.ID(fmt.Sprintf("%s-%s-%02d", name, kind, n)), Kind: kind, Address: "127.0.0.1:1", Incarnation: 1,
-					Centre: site.DataCentre(name), Rack: site.Rack(fmt.Sprintf("%s-%d", kind, n/4)), State: platform.StateLive,
+					Centre: site.DataCentre(name), Rack: site.Rack(fmt.Sprintf("%s-%d", kind, n/4)), State: upstream.StateLive,
 				}})
 			}
 		}
@@ -87,8 +87,8 @@
 	w.catchUp()
 }
 
-func (w *world) list() []platform.Listing {
-	var list []platform.Listing
+func (w *world) list() []upstream.Listing {
+	var list []upstream.Listing
 	for _, m := range w.machines {
 		if m.up {
 			list = append(list, m.Listing)
--- a/request/atmostonce_test.go
+++ b/request/atmostonce_test.go
@@ -14,7 +14,7 @@
 
 	"hibiscuslane.example/hibiscuslane/claim"
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/request"
 	"hibiscuslane.example/hibiscuslane/slot"
@@ -266,7 +266,7 @@
 		refusals := 2
 		f.target.send = func(_ context.Context, try *request.Try) (*request.Reply, error) {
 			if refusals--; refusals >= 0 {
-				return nil, &platform.RefusedError{Call: "send", Refusal: platform.RefusedFull}
+				return nil, &upstream.RefusedError{Call: "send", Refusal: upstream.RefusedFull}
 			}
 			f.target.execute(try.Request.Body)
 			return reply("ok"), nil
--- a/request/chain_test.go
+++ b/request/chain_test.go
@@ -17,7 +17,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/request"
 	"hibiscuslane.example/hibiscuslane/slot"
 )
@@ -79,7 +79,7 @@
 // TestRetries guards against repeating what may have run, and against reporting notrun after a try
 // that may have run.
 func TestRetries(t *testing.T) {
-	refused := &platform.RefusedError{Refusal: platform.RefusedDraining}
+	refused := &upstream.RefusedError{Refusal: upstream.RefusedDraining}
 	broken := &request.BrokenError{Cause: io.ErrUnexpectedEOF}
 	tests := map[string]struct {
 		method, path string
@@ -91,7 +91,7 @@
 		"post refused":            {"POST", "/b", []error{refused, nil}, 2, 201, failure.OutcomeAnswered},
 		"post broken":             {"POST", "/b", []error{broken, nil}, 1, 502, failure.OutcomeUnknown},
 		"post uncoded":            {"POST", "/b", []error{io.EOF, nil}, 1, 502, failure.OutcomeUnknown},
-		"post with foreign codes": {"POST", "/b", []error{&platform.CallError{Call: "send", Cause: io.EOF}, nil}, 1, 502, failure.OutcomeUnknown},
+		"post with foreign codes": {"POST", "/b", []error{&upstream.CallError{Call: "send", Cause: io.EOF}, nil}, 1, 502, failure.OutcomeUnknown},
 		"post past its deadline":  {"POST", "/b", []error{&request.BrokenError{Cause: context.DeadlineExceeded}}, 1, 504, failure.OutcomeUnknown},
 		"get broken":              {"GET", "/b", []error{broken, nil}, 2, 201, failure.OutcomeAnswered},
 		"put of idempotent route": {"PUT", "/a/x", []error{broken, nil}, 2, 201, failure.OutcomeAnswered},
@@ -236,7 +236,7 @@
 			return reply("ok"), nil
 		}
 		w := httptest.NewRecorder()
-		r := call("POST", "/b", "", platform.HeaderIncarnation, "9", "Te", "trailers", "X-Kept", "1", "X-Hop", "1", "Connection", "close, x-hop")
+		r := call("POST", "/b", "", upstream.HeaderIncarnation, "9", "Te", "trailers", "X-Kept", "1", "X-Hop", "1", "Connection", "close, x-hop")
 		f.first.handler.ServeHTTP(w, r)
 		assert.Equal(f, http.Header{request.HeaderTeam: {"red"}, "X-Kept": {"1"}}, sent)
 		assert.Empty(f, w.Header().Get("X-Hop"))
--- a/request/fixture_test.go
+++ b/request/fixture_test.go
@@ -15,7 +15,7 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/request"
@@ -55,7 +55,7 @@
 	defer l.mu.Unlock()
 	l.appends++
 	if l.down {
-		return 0, &platform.RefusedError{Call: "append", Refusal: platform.RefusedDown}
+		return 0, &upstream.RefusedError{Call: "append", Refusal: upstream.RefusedDown}
 	}
 	first := record.Offset(len(l.records))
 	l.records = append(l.records, records...)
@@ -65,12 +65,12 @@
 	}
 	if l.lose > 0 {
 		l.lose--
-		return 0, &platform.CallError{Call: "append", Cause: io.ErrUnexpectedEOF}
+		return 0, &upstream.CallError{Call: "append", Cause: io.ErrUnexpectedEOF}
 	}
 	return first, nil
 }
 
-func (l *memoryLog) Read(ctx context.Context, _ record.Stream, from record.Offset, _ int, wait time.Duration) (platform.Batch, error) {
+func (l *memoryLog) Read(ctx context.Context, _ record.Stream, from record.Offset, _ int, wait time.Duration) (upstream.Batch, error) {
 	// A nil channel never expires. A timer of zero length is avoided, because selecting on it inside a
 	// synctest bubble with the race detector can crash the Go runtime (seen with Go 1.26.8).
 	var expired <-chan time.Time
@@ -85,7 +85,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Batch{}, ctx.Err()
+			return upstream.Batch{}, ctx.Err()
 		case <-expired:
 			return batch, nil
 		case <-changed:
@@ -93,12 +93,12 @@
 	}
 }
 
-func (l *memoryLog) batch(from record.Offset) (platform.Batch, chan struct{}) {
+func (l *memoryLog) batch(from record.Offset) (upstream.Batch, chan struct{}) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	batch := platform.Batch{Next: record.Offset(len(l.records))}
+	batch := upstream.Batch{Next: record.Offset(len(l.records))}
 	for i := from; i < batch.Next; i++ {
-		batch.Records = append(batch.Records, platform.Stored{Offset: i, Body: l.records[i]})
+		batch.Records = append(batch.Records, upstream.Stored{Offset: i, Body: l.records[i]})
 	}
 	if l.changed == nil {
 		l.changed = make(chan struct{})
@@ -196,7 +196,7 @@
 	kill func()
 }
 
-func newEntry(log platform.Log, t *target, number int, service *timer.Service) *entry {
+func newEntry(log upstream.Log, t *target, number int, service *timer.Service) *entry {
 	ctx, cancel := context.WithCancel(context.Background())
 	writer := record.Writer{Entry: instance.ID(fmt.Sprint("entry-", number)), Incarnation: 1}
 	state := &claim.State{}
--- a/request/property_test.go
+++ b/request/property_test.go
@@ -18,7 +18,7 @@
 
 	"hibiscuslane.example/hibiscuslane/claim"
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/request"
 	"hibiscuslane.example/hibiscuslane/timer"
@@ -88,15 +88,15 @@
 
 func (v view) Append(ctx context.Context, s record.Stream, records []json.RawMessage) (record.Offset, error) {
 	if v.cut.contains(v.clock.ms()) {
-		return 0, &platform.CallError{Call: "append", Cause: io.EOF}
+		return 0, &upstream.CallError{Call: "append", Cause: io.EOF}
 	}
 	return v.memoryLog.Append(ctx, s, records)
 }
 
-func (v view) Read(ctx context.Context, s record.Stream, from record.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+func (v view) Read(ctx context.Context, s record.Stream, from record.Offset, limit int, wait time.Duration) (upstream.Batch, error) {
 	batch, err := v.memoryLog.Read(ctx, s, from, limit, wait)
 	if v.cut.contains(v.clock.ms()) {
-		return platform.Batch{}, &platform.CallError{Call: "read", Cause: io.EOF}
+		return upstream.Batch{}, &upstream.CallError{Call: "read", Cause: io.EOF}
 	}
 	return batch, err
 }
@@ -134,7 +134,7 @@
 func (w *world) send(ctx context.Context, try *request.Try) (*request.Reply, error) {
 	fate := w.fate()
 	if fate == "refused" {
-		return nil, &platform.RefusedError{Refusal: platform.RefusedFull}
+		return nil, &upstream.RefusedError{Refusal: upstream.RefusedFull}
 	}
 	if fate != "lost" {
 		w.target.execute(try.Request.Body)
--- a/request/queue.go
+++ b/request/queue.go
@@ -6,7 +6,7 @@
 	"github.com/go-kit/kit/endpoint"
 
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/slot"
 )
 
@@ -68,7 +68,7 @@
 	switch {
 	case coded.Outcome() != failure.OutcomeNotRun:
 		return slot.ResultUnknown
-	case platform.IsRefused(err, platform.RefusedFull):
+	case upstream.IsRefused(err, upstream.RefusedFull):
 		return slot.ResultFull
 	case coded.Code() == failure.CodeUnreachable:
 		return slot.ResultUnreachable
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -9,15 +9,15 @@
 	"pgregory.net/rapid"
 
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/retry"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
 
 var (
-	errNotRun  = &platform.RefusedError{Refusal: platform.RefusedFull}
-	errUnknown = &platform.CallError{Call: "request", Cause: context.Canceled}
-	errInvalid = &platform.RefusedError{Refusal: platform.RefusedInvalid}
+	errNotRun  = &upstream.RefusedError{Refusal: upstream.RefusedFull}
+	errUnknown = &upstream.CallError{Call: "request", Cause: context.Canceled}
+	errInvalid = &upstream.RefusedError{Refusal: upstream.RefusedInvalid}
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/route/route.go
+++ b/route/route.go
@@ -3,7 +3,7 @@
 
 import (
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 )
 
@@ -34,6 +34,6 @@
 )
 
 // leaving reports whether a refusal means that the target takes no more work under its incarnation.
-func leaving(refusal platform.Refusal) bool {
-	return refusal == platform.RefusedDraining || refusal == platform.RefusedIncarnation
+func leaving(refusal upstream.Refusal) bool {
+	return refusal == upstream.RefusedDraining || refusal == upstream.RefusedIncarnation
 }
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -11,7 +11,7 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/route"
 	"hibiscuslane.example/hibiscuslane/timer"
@@ -44,22 +44,22 @@
 // first, and against its return before the next incarnation because another source lags.
 func TestLeaving(t *testing.T) {
 	const id instance.ID = "t01"
-	listing := platform.Listing{ID: id, Kind: instance.KindTarget, Incarnation: 5, State: platform.StateLive}
+	listing := upstream.Listing{ID: id, Kind: instance.KindTarget, Incarnation: 5, State: upstream.StateLive}
 	draining := targets(3)
 	draining[1].Phase, draining[1].Next = instance.PhaseDraining, name
 	cases := map[string]func(table *route.Table){
 		"fleet": func(table *route.Table) { table.Update(draining) },
 		"list": func(table *route.Table) {
 			leaving := listing
-			leaving.State = platform.StateLeaving
-			table.List([]platform.Listing{leaving})
+			leaving.State = upstream.StateLeaving
+			table.List([]upstream.Listing{leaving})
 		},
-		"refusal":             func(table *route.Table) { table.Refused(id, 5, platform.RefusedDraining) },
-		"incarnation refused": func(table *route.Table) { table.Refused(id, 5, platform.RefusedIncarnation) },
+		"refusal":             func(table *route.Table) { table.Refused(id, 5, upstream.RefusedDraining) },
+		"incarnation refused": func(table *route.Table) { table.Refused(id, 5, upstream.RefusedIncarnation) },
 		"list is ahead": func(table *route.Table) {
 			rebooted := listing
 			rebooted.Incarnation = 6
-			table.List([]platform.Listing{rebooted})
+			table.List([]upstream.Listing{rebooted})
 		},
 	}
 	for source, leave := range cases {
@@ -73,7 +73,7 @@
 				require.True(t, ok)
 				require.Equal(t, instance.PhaseDraining, got.Phase)
 				clock.Advance(time.Second)
-				table.List([]platform.Listing{listing})
+				table.List([]upstream.Listing{listing})
 				if source != "fleet" {
 					table.Update(targets(3))
 				}
@@ -85,8 +85,8 @@
 		})
 	}
 	table, _ := newTable(3)
-	table.Refused(id, 4, platform.RefusedDraining)
-	table.Refused(id, 5, platform.RefusedFull)
+	table.Refused(id, 4, upstream.RefusedDraining)
+	table.Refused(id, 5, upstream.RefusedFull)
 	require.Len(t, table.Usable(name), 3, "late refusals and a full target are no reason")
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -9,7 +9,7 @@
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
@@ -103,7 +103,7 @@
 
 // List takes a list of the platform. A listed leaving target takes no more work under the listed
 // incarnation; a listed live target takes none under an earlier one.
-func (t *Table) List(listings []platform.Listing) {
+func (t *Table) List(listings []upstream.Listing) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.listed = make(map[instance.ID]bool, len(listings))
@@ -113,7 +113,7 @@
 		}
 		t.listed[l.ID] = true
 		least := l.Incarnation
-		if l.State == platform.StateLeaving {
+		if l.State == upstream.StateLeaving {
 			least++
 		}
 		t.raiseLocked(l.ID, least, "list")
@@ -122,7 +122,7 @@
 }
 
 // Refused takes the refusal of a request that carried the incarnation.
-func (t *Table) Refused(id instance.ID, incarnation instance.Incarnation, refusal platform.Refusal) {
+func (t *Table) Refused(id instance.ID, incarnation instance.Incarnation, refusal upstream.Refusal) {
 	if !leaving(refusal) {
 		return
 	}
--- a/scenario/job_test.go
+++ b/scenario/job_test.go
@@ -10,7 +10,7 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/worker"
 )
 
@@ -94,8 +94,8 @@
 }
 
 // runs returns what the workers ran, by task.
-func (w *world) runs() (map[platform.TaskID][]worker.Record, error) {
-	tasks := map[platform.TaskID][]worker.Record{}
+func (w *world) runs() (map[upstream.TaskID][]worker.Record, error) {
+	tasks := map[upstream.TaskID][]worker.Record{}
 	for _, address := range w.workers {
 		r, err := call(context.Background(), http.MethodGet, "http://"+address+"/-/journal", http.Header{}, "")
 		if err != nil {
@@ -138,7 +138,7 @@
 	count := 0
 	for _, runs := range tasks {
 		for _, run := range runs {
-			if run.State == platform.TaskLapsed {
+			if run.State == upstream.TaskLapsed {
 				count++
 			}
 		}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -58,7 +58,6 @@
 func play(t *testing.T, name string) {
 	t.Helper()
 	t.Parallel()
-	turns <- struct{}{}
 	fleet, err := filepath.Abs(filepath.Join("testdata", "fleet.json"))
 	if err != nil {
 		t.Fatal(err)
@@ -67,12 +66,14 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	// The token is returned after the script, which runs as a parallel subtest, has ended.
-	t.Cleanup(func() { <-turns })
 	testscript.Run(t, testscript.Params{
 		Files: []string{filepath.Join("testdata", name+".txtar")},
 		Cmds:  commands,
+		// A script runs as a parallel subtest. It takes its token there and not in this test, which would
+		// hold a slot of the test runner that the subtests of others need.
 		Setup: func(env *testscript.Env) error {
+			turns <- struct{}{}
+			env.Defer(func() { <-turns })
 			env.Setenv("FLEET", fleet)
 			env.Setenv("CONFIG", config)
 			w := newWorld(t, env.WorkDir, config)
--- a/snapshot/bench_test.go
+++ b/snapshot/bench_test.go
@@ -14,7 +14,7 @@
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/job"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/site"
@@ -138,12 +138,12 @@
 
 // countingLog counts the bytes of the records that are read.
 type countingLog struct {
-	platform.Log
+	upstream.Log
 	bytes int
 }
 
-// Read implements platform.Log.
-func (l *countingLog) Read(ctx context.Context, name record.Stream, from record.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements upstream.Log.
+func (l *countingLog) Read(ctx context.Context, name record.Stream, from record.Offset, limit int, wait time.Duration) (upstream.Batch, error) {
 	batch, err := l.Log.Read(ctx, name, from, limit, wait)
 	for _, stored := range batch.Records {
 		l.bytes += len(stored.Body)
@@ -184,7 +184,7 @@
 	}
 }
 
-func appendImages(b *testing.B, log platform.Log, image Image) {
+func appendImages(b *testing.B, log upstream.Log, image Image) {
 	body, err := json.Marshal(image)
 	require.NoError(b, err)
 	for n := range readLimit {
--- a/snapshot/keeper.go
+++ b/snapshot/keeper.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/event"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/timer"
@@ -25,7 +25,7 @@
 
 // Keeper appends snapshots of one stream. Set the exported fields before Run.
 type Keeper struct {
-	Log      platform.Log
+	Log      upstream.Log
 	Follower *stream.Follower
 	Appender *stream.Appender
 	Timer    *timer.Service
@@ -162,7 +162,7 @@
 }
 
 // images returns the last usable images in the log, the one with the highest offset last.
-func images(ctx context.Context, log platform.Log, name record.Stream, clock *timer.Service) ([]written, error) {
+func images(ctx context.Context, log upstream.Log, name record.Stream, clock *timer.Service) ([]written, error) {
 	ctx, cancel := clock.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	head, err := log.Read(ctx, name.Snapshot(), endOfStream, 1, 0)
@@ -173,7 +173,7 @@
 }
 
 // readImages reads the last records before the head of a snapshot stream.
-func readImages(ctx context.Context, log platform.Log, name record.Stream, head platform.Batch) ([]written, error) {
+func readImages(ctx context.Context, log upstream.Log, name record.Stream, head upstream.Batch) ([]written, error) {
 	batch, err := log.Read(ctx, name.Snapshot(), max(head.First, head.Next-readLimit), readLimit, 0)
 	if err != nil {
 		return nil, err
--- a/snapshot/loader.go
+++ b/snapshot/loader.go
@@ -8,7 +8,7 @@
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/peer"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/timer"
@@ -35,7 +35,7 @@
 
 // Loader loads the newest snapshot of a stream, from the log or, while the log is down, from a peer.
 type Loader struct {
-	Log      platform.Log
+	Log      upstream.Log
 	Follower *stream.Follower
 	Timer    *timer.Service
 	Events   event.Log
--- a/standin/appendlog/http.go
+++ b/standin/appendlog/http.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
 )
@@ -50,8 +50,8 @@
 	}
 	wait := time.Duration(query.wait) * time.Millisecond
 	batch, err := l.Read(r.Context(), stream, record.Offset(query.from), int(query.limit), wait)
-	if platform.IsExpired(err) {
-		err = reply.Refuse(r.URL.Path, platform.RefusedExpired, "the offset is past the retention window")
+	if upstream.IsExpired(err) {
+		err = reply.Refuse(r.URL.Path, upstream.RefusedExpired, "the offset is past the retention window")
 	}
 	if err != nil {
 		reply.Error(w, err)
--- a/standin/appendlog/log.go
+++ b/standin/appendlog/log.go
@@ -11,7 +11,7 @@
 
 	"golang.org/x/time/rate"
 
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
 	"hibiscuslane.example/hibiscuslane/timer"
@@ -53,7 +53,7 @@
 	Records int `json:"records"`
 }
 
-// Log is an append-only log with several streams. It implements platform.Log and, through Handler,
+// Log is an append-only log with several streams. It implements upstream.Log and, through Handler,
 // the HTTP protocol.
 type Log struct {
 	retention Retention
@@ -142,7 +142,7 @@
 	return counts
 }
 
-// Append implements platform.Log. An append that was received takes effect even if ctx ends while
+// Append implements upstream.Log. An append that was received takes effect even if ctx ends while
 // the log is slow, as it would in a remote store.
 func (l *Log) Append(ctx context.Context, name record.Stream, records []json.RawMessage) (record.Offset, error) {
 	call := "append to " + string(name)
@@ -157,10 +157,10 @@
 		return 0, err
 	}
 	if lost {
-		return 0, &platform.CallError{Call: call, Cause: &LostError{}}
+		return 0, &upstream.CallError{Call: call, Cause: &LostError{}}
 	}
 	if err := ctx.Err(); err != nil {
-		return 0, &platform.CallError{Call: call, Cause: err}
+		return 0, &upstream.CallError{Call: call, Cause: err}
 	}
 	return first, nil
 }
@@ -171,12 +171,12 @@
 		return down(call)
 	}
 	if err := l.timer.Sleep(l.ctx, time.Duration(f.Slow)*time.Millisecond); err != nil {
-		return &platform.CallError{Call: call, Cause: err}
+		return &upstream.CallError{Call: call, Cause: err}
 	}
 	return nil
 }
 
-func down(call string) error { return reply.Refuse(call, platform.RefusedDown, "the log is down") }
+func down(call string) error { return reply.Refuse(call, upstream.RefusedDown, "the log is down") }
 
 func (l *Log) add(call string, name record.Stream, records []json.RawMessage) (record.Offset, bool, error) {
 	l.mu.Lock()
@@ -186,7 +186,7 @@
 		return 0, false, down(call)
 	}
 	if l.limiter != nil && !l.limiter.AllowN(now, 1) {
-		return 0, false, reply.Refuse(call, platform.RefusedFull, "the append rate limit is reached")
+		return 0, false, reply.Refuse(call, upstream.RefusedFull, "the append rate limit is reached")
 	}
 	s := l.streamLocked(name)
 	first := s.next()
@@ -236,14 +236,14 @@
 	s.changed = make(chan struct{})
 }
 
-// Read implements platform.Log.
-func (l *Log) Read(ctx context.Context, name record.Stream, from record.Offset, limit int, wait time.Duration) (platform.Batch, error) {
+// Read implements upstream.Log.
+func (l *Log) Read(ctx context.Context, name record.Stream, from record.Offset, limit int, wait time.Duration) (upstream.Batch, error) {
 	call := "read of " + string(name)
 	if from < 0 || limit <= 0 || wait < 0 {
-		return platform.Batch{}, reply.Invalid(call, "from and wait must not be negative, max must be positive")
+		return upstream.Batch{}, reply.Invalid(call, "from and wait must not be negative, max must be positive")
 	}
 	if err := l.delay(call); err != nil {
-		return platform.Batch{}, err
+		return upstream.Batch{}, err
 	}
 	var deadline <-chan time.Time
 	for {
@@ -259,18 +259,18 @@
 		case <-deadline:
 			return batch, nil
 		case <-l.ctx.Done():
-			return platform.Batch{}, &platform.CallError{Call: call, Cause: l.ctx.Err()}
+			return upstream.Batch{}, &upstream.CallError{Call: call, Cause: l.ctx.Err()}
 		case <-ctx.Done():
-			return platform.Batch{}, &platform.CallError{Call: call, Cause: ctx.Err()}
+			return upstream.Batch{}, &upstream.CallError{Call: call, Cause: ctx.Err()}
 		}
 	}
 }
 
-func (l *Log) take(call string, name record.Stream, from record.Offset, limit int, count bool) (platform.Batch, <-chan struct{}, error) {
+func (l *Log) take(call string, name record.Stream, from record.Offset, limit int, count bool) (upstream.Batch, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.faults.Down {
-		return platform.Batch{}, nil, down(call)
+		return upstream.Batch{}, nil, down(call)
 	}
 	s := l.streamLocked(name)
 	if count {
@@ -278,9 +278,9 @@
 	}
 	l.trimLocked(s)
 	if from < s.first {
-		return platform.Batch{}, nil, &platform.ExpiredError{Call: call}
+		return upstream.Batch{}, nil, &upstream.ExpiredError{Call: call}
 	}
-	batch := platform.Batch{First: s.first, Next: s.next(), Records: []platform.Stored{}}
+	batch := upstream.Batch{First: s.first, Next: s.next(), Records: []upstream.Stored{}}
 	size := 0
 	for offset := from; offset < s.next() && len(batch.Records) < limit; offset++ {
 		body := s.records[offset-s.first].body
@@ -288,7 +288,7 @@
 		if size > maxBytes && len(batch.Records) > 0 {
 			break
 		}
-		batch.Records = append(batch.Records, platform.Stored{Offset: offset, Body: body})
+		batch.Records = append(batch.Records, upstream.Stored{Offset: offset, Body: body})
 	}
 	return batch, s.changed, nil
 }
--- a/standin/appendlog/log_test.go
+++ b/standin/appendlog/log_test.go
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/standin/appendlog"
 	"hibiscuslane.example/hibiscuslane/timer"
@@ -20,7 +20,7 @@
 
 var ctx = context.Background()
 
-func start(t *testing.T, retention appendlog.Retention) (*appendlog.Log, *platform.Client, *timer.Manual) {
+func start(t *testing.T, retention appendlog.Retention) (*appendlog.Log, *upstream.Client, *timer.Manual) {
 	t.Helper()
 	manual := timer.NewManual(time.Unix(1_000_000, 0))
 	log := appendlog.New(retention, &manual.Service)
@@ -29,7 +29,7 @@
 	server := httptest.NewServer(mux)
 	t.Cleanup(server.Close)
 	t.Cleanup(log.Close)
-	return log, &platform.Client{Base: server.URL, HTTP: server.Client()}, manual
+	return log, &upstream.Client{Base: server.URL, HTTP: server.Client()}, manual
 }
 
 func records(bodies ...string) []json.RawMessage {
@@ -62,18 +62,18 @@
 	_, err := client.Append(ctx, "a", records(`0`, `1`, `2`, `3`))
 	require.NoError(t, err)
 	_, err = client.Read(ctx, "a", 0, 10, 0)
-	require.True(t, platform.IsExpired(err))
+	require.True(t, upstream.IsExpired(err))
 	batch, err := client.Read(ctx, "a", 1, 2, 0)
 	require.NoError(t, err)
 	require.Equal(t, record.Offset(1), batch.First)
 	require.Equal(t, record.Offset(4), batch.Next)
-	require.Equal(t, []platform.Stored{{Offset: 1, Body: records(`1`)[0]}, {Offset: 2, Body: records(`2`)[0]}}, batch.Records)
+	require.Equal(t, []upstream.Stored{{Offset: 1, Body: records(`1`)[0]}, {Offset: 2, Body: records(`2`)[0]}}, batch.Records)
 	manual.Advance(30 * time.Second)
 	_, err = client.Append(ctx, "a", records(`4`))
 	require.NoError(t, err)
 	manual.Advance(31 * time.Second)
 	_, err = client.Read(ctx, "a", 3, 10, 0)
-	require.True(t, platform.IsExpired(err))
+	require.True(t, upstream.IsExpired(err))
 	batch, err = client.Read(ctx, "a", 4, 10, 0)
 	require.NoError(t, err)
 	require.Len(t, batch.Records, 1)
@@ -83,7 +83,7 @@
 func TestLongPoll(t *testing.T) {
 	log, client, manual := start(t, appendlog.Retention{})
 	type result struct {
-		batch platform.Batch
+		batch upstream.Batch
 		err   error
 	}
 	read := func() <-chan result {
@@ -102,9 +102,9 @@
 	require.Empty(t, got.batch.Records)
 	waiting = read()
 	log.SetFaults(appendlog.Faults{Down: true})
-	require.True(t, platform.IsRefused((<-waiting).err, platform.RefusedDown))
+	require.True(t, upstream.IsRefused((<-waiting).err, upstream.RefusedDown))
 	_, err := client.Append(ctx, "a", records(`0`))
-	require.True(t, platform.IsRefused(err, platform.RefusedDown))
+	require.True(t, upstream.IsRefused(err, upstream.RefusedDown))
 	log.SetFaults(appendlog.Faults{})
 	manual.Advance(time.Second)
 	waiting = read()
@@ -140,7 +140,7 @@
 		require.NoError(t, err)
 	}
 	_, err := client.Append(ctx, "a", records(`0`))
-	require.True(t, platform.IsRefused(err, platform.RefusedFull))
+	require.True(t, upstream.IsRefused(err, upstream.RefusedFull))
 	manual.Advance(500 * time.Millisecond)
 	_, err = client.Append(ctx, "a", records(`0`))
 	require.NoError(t, err)
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -19,7 +19,7 @@
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/examples"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/settings"
 	"hibiscuslane.example/hibiscuslane/site"
 	"hibiscuslane.example/hibiscuslane/standin/emulator"
@@ -142,9 +142,9 @@
 	if err != nil {
 		return err
 	}
-	r.fleet.Platform.Directory.AddEntry(platform.Listing{
+	r.fleet.Platform.Directory.AddEntry(upstream.Listing{
 		ID: id, Kind: instance.KindEntry, Centre: centre, Incarnation: 1,
-		Address: e.Addresses().Peers, State: platform.StateLive,
+		Address: e.Addresses().Peers, State: upstream.StateLive,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	n := &node{Entry: e, stop: cancel, done: make(chan error, 1)}
--- a/standin/directory/directory.go
+++ b/standin/directory/directory.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
@@ -22,7 +22,7 @@
 	Drain(incarnation instance.Incarnation) error
 	Reboot(incarnation instance.Incarnation) error
 	// Watch calls f with the present listing and at each change; up is false while the machine is off.
-	Watch(f func(listing platform.Listing, up bool))
+	Watch(f func(listing upstream.Listing, up bool))
 }
 
 // Faults are the fault switches of the list.
@@ -33,7 +33,7 @@
 	Down bool `json:"down"`
 }
 
-// Directory is the list of instances. It implements platform.Directory and platform.Controller.
+// Directory is the list of instances. It implements upstream.Directory and upstream.Controller.
 type Directory struct {
 	timer *timer.Service
 
@@ -43,13 +43,13 @@
 	// known holds the ids that were ever listed.
 	known map[instance.ID]bool
 	// visible is the list as of the lag; changes holds what happened since, oldest first.
-	visible map[instance.ID]platform.Listing
+	visible map[instance.ID]upstream.Listing
 	changes []change
 }
 
 type change struct {
 	at      time.Time
-	listing platform.Listing
+	listing upstream.Listing
 	up      bool
 }
 
@@ -60,7 +60,7 @@
 		faults:   Faults{Lag: lag.Milliseconds()},
 		machines: map[instance.ID]Machine{},
 		known:    map[instance.ID]bool{},
-		visible:  map[instance.ID]platform.Listing{},
+		visible:  map[instance.ID]upstream.Listing{},
 	}
 }
 
@@ -74,16 +74,16 @@
 }
 
 // AddEntry lists an entry. The platform does not know the incarnations of entries.
-func (d *Directory) AddEntry(listing platform.Listing) {
+func (d *Directory) AddEntry(listing upstream.Listing) {
 	listing.Kind = instance.KindEntry
-	listing.State = platform.StateLive
+	listing.State = upstream.StateLive
 	d.update(listing, true)
 }
 
 // Set changes the listing of an entry after the lag; up is false to remove it.
-func (d *Directory) Set(listing platform.Listing, up bool) { d.update(listing, up) }
+func (d *Directory) Set(listing upstream.Listing, up bool) { d.update(listing, up) }
 
-func (d *Directory) update(listing platform.Listing, up bool) {
+func (d *Directory) update(listing upstream.Listing, up bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if up && !d.known[listing.ID] {
@@ -135,23 +135,23 @@
 	return nil
 }
 
-// List implements platform.Directory.
-func (d *Directory) List(_ context.Context) ([]platform.Listing, error) {
+// List implements upstream.Directory.
+func (d *Directory) List(_ context.Context) ([]upstream.Listing, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.faults.Down {
-		return nil, reply.Refuse("list of instances", platform.RefusedDown, "the list is down")
+		return nil, reply.Refuse("list of instances", upstream.RefusedDown, "the list is down")
 	}
 	d.foldLocked()
-	listings := make([]platform.Listing, 0, len(d.visible))
+	listings := make([]upstream.Listing, 0, len(d.visible))
 	for _, listing := range d.visible {
 		listings = append(listings, listing)
 	}
-	slices.SortFunc(listings, func(a, b platform.Listing) int { return strings.Compare(string(a.ID), string(b.ID)) })
+	slices.SortFunc(listings, func(a, b upstream.Listing) int { return strings.Compare(string(a.ID), string(b.ID)) })
 	return listings, nil
 }
 
-// Drain implements platform.Controller.
+// Drain implements upstream.Controller.
 func (d *Directory) Drain(_ context.Context, id instance.ID, incarnation instance.Incarnation) error {
 	m, err := d.machine("drain of "+string(id), id)
 	if err != nil {
@@ -160,7 +160,7 @@
 	return m.Drain(incarnation)
 }
 
-// Reboot implements platform.Controller.
+// Reboot implements upstream.Controller.
 func (d *Directory) Reboot(_ context.Context, id instance.ID, incarnation instance.Incarnation) error {
 	m, err := d.machine("reboot of "+string(id), id)
 	if err != nil {
@@ -173,17 +173,17 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.faults.Down {
-		return nil, reply.Refuse(call, platform.RefusedDown, "control is down")
+		return nil, reply.Refuse(call, upstream.RefusedDown, "control is down")
 	}
 	m, ok := d.machines[id]
 	if !ok {
-		return nil, reply.Refuse(call, platform.RefusedMissing, "no target or worker has this id")
+		return nil, reply.Refuse(call, upstream.RefusedMissing, "no target or worker has this id")
 	}
 	return m, nil
 }
 
 type listAnswer struct {
-	Instances []platform.Listing `json:"instances"`
+	Instances []upstream.Listing `json:"instances"`
 }
 
 type controlBody struct {
--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/appendlog"
 	emulated "hibiscuslane.example/hibiscuslane/standin/platform"
 	"hibiscuslane.example/hibiscuslane/standin/target"
@@ -76,7 +76,7 @@
 	return instance.Address(fmt.Sprintf("127.0.0.1:%d", port)), port + 1
 }
 
-func (e *Emulator) startTarget(fleet Fleet, listing platform.Listing, service *timer.Service) error {
+func (e *Emulator) startTarget(fleet Fleet, listing upstream.Listing, service *timer.Service) error {
 	t, err := target.Start(target.Options{
 		Listing:     listing,
 		Slots:       fleet.Target.Slots,
@@ -92,7 +92,7 @@
 	return nil
 }
 
-func (e *Emulator) startWorker(fleet Fleet, listing platform.Listing, checkpoints *worker.Checkpoints, service *timer.Service) error {
+func (e *Emulator) startWorker(fleet Fleet, listing upstream.Listing, checkpoints *worker.Checkpoints, service *timer.Service) error {
 	listing.Cores = fleet.Worker.Cores
 	listing.Memory = fleet.Worker.Memory
 	listing.Accelerators = fleet.Worker.Accelerators
@@ -112,9 +112,9 @@
 }
 
 // Listings returns the present state of all machines and entries, without the lag of the list.
-func (e *Emulator) Listings() []platform.Listing {
+func (e *Emulator) Listings() []upstream.Listing {
 	all := e.instances()
-	listings := make([]platform.Listing, len(all))
+	listings := make([]upstream.Listing, len(all))
 	for i, one := range all {
 		listings[i] = one.Listing()
 	}
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -12,14 +12,14 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/emulator"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
 
 var ctx = context.Background()
 
-func start(t *testing.T) (*emulator.Emulator, *platform.Client, *timer.Manual) {
+func start(t *testing.T) (*emulator.Emulator, *upstream.Client, *timer.Manual) {
 	t.Helper()
 	fleet, err := emulator.Load("../../examples/small/fleet.json")
 	require.NoError(t, err)
@@ -30,10 +30,10 @@
 	t.Cleanup(func() { require.NoError(t, e.Close()) })
 	transport := &http.Transport{}
 	t.Cleanup(transport.CloseIdleConnections)
-	return e, &platform.Client{Base: e.Platform.URL(), HTTP: &http.Client{Transport: transport}}, manual
+	return e, &upstream.Client{Base: e.Platform.URL(), HTTP: &http.Client{Transport: transport}}, manual
 }
 
-func fault(t *testing.T, c *platform.Client, body string) int {
+func fault(t *testing.T, c *upstream.Client, body string) int {
 	t.Helper()
 	// A client of its own leaves the connection of c in place.
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
@@ -43,7 +43,7 @@
 	return response.StatusCode
 }
 
-func find(t *testing.T, c *platform.Client, id instance.ID) (platform.Listing, bool) {
+func find(t *testing.T, c *upstream.Client, id instance.ID) (upstream.Listing, bool) {
 	t.Helper()
 	list, err := c.List(ctx)
 	require.NoError(t, err)
@@ -52,7 +52,7 @@
 			return l, true
 		}
 	}
-	return platform.Listing{}, false
+	return upstream.Listing{}, false
 }
 
 // TestListLag guards against a list that shows a change early or never.
@@ -63,9 +63,9 @@
 	require.Len(t, list, 33)
 	const id = "beta-worker-5"
 	before, _ := find(t, c, id)
-	require.Equal(t, platform.Listing{
+	require.Equal(t, upstream.Listing{
 		ID: id, Kind: instance.KindWorker, Address: before.Address, Incarnation: 1, Centre: "beta",
-		Rack: "beta-worker-rack-2", State: platform.StateLive, Cores: 16, Memory: 65536,
+		Rack: "beta-worker-rack-2", State: upstream.StateLive, Cores: 16, Memory: 65536,
 	}, before)
 	require.NoError(t, c.Drain(ctx, id, 1))
 	require.NoError(t, c.Reboot(ctx, id, 1))
@@ -73,17 +73,17 @@
 	require.Equal(t, before, lagging)
 	manual.Advance(500 * time.Millisecond)
 	drained, _ := find(t, c, id)
-	require.Equal(t, platform.StateLeaving, drained.State)
+	require.Equal(t, upstream.StateLeaving, drained.State)
 	require.NoError(t, manual.Await(ctx, 1))
 	manual.Advance(1500 * time.Millisecond)
 	require.Eventually(t, func() bool {
-		return platform.IsRefused(c.Reboot(ctx, id, 1), platform.RefusedIncarnation)
+		return upstream.IsRefused(c.Reboot(ctx, id, 1), upstream.RefusedIncarnation)
 	}, 10*time.Second, time.Millisecond)
 	manual.Advance(500 * time.Millisecond)
 	returned, _ := find(t, c, id)
-	require.Equal(t, platform.StateLive, returned.State)
+	require.Equal(t, upstream.StateLive, returned.State)
 	require.Equal(t, instance.Incarnation(2), returned.Incarnation)
-	require.True(t, platform.IsRefused(c.Drain(ctx, "nobody", 1), platform.RefusedMissing))
+	require.True(t, upstream.IsRefused(c.Drain(ctx, "nobody", 1), upstream.RefusedMissing))
 }
 
 // TestFault guards against switches that reach the wrong part, and against misspelt switches that are
@@ -102,7 +102,7 @@
 	require.NoError(t, err)
 	require.Len(t, list, 28)
 	entry, _ := find(t, c, "entry-2")
-	require.Equal(t, platform.StateLeaving, entry.State)
+	require.Equal(t, upstream.StateLeaving, entry.State)
 	require.Equal(t, http.StatusOK, fault(t, c, `{"list":{"lag":1000},"instances":[{"match":{"id":"gamma-target-1"},"set":{"off":false}}]}`))
 	_, listed := find(t, c, "gamma-target-1")
 	require.False(t, listed, "a returned machine appears after the lag")
@@ -117,7 +117,7 @@
 	require.Error(t, err, "the established connection is dead")
 	c.HTTP.Timeout = 0
 	_, err = c.List(ctx)
-	require.True(t, platform.IsRefused(err, platform.RefusedDown))
+	require.True(t, upstream.IsRefused(err, upstream.RefusedDown))
 }
 
 // TestLoad guards against a mistake in a fleet file that starts another fleet than meant.
--- a/standin/emulator/fault.go
+++ b/standin/emulator/fault.go
@@ -8,7 +8,7 @@
 
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/site"
 	"hibiscuslane.example/hibiscuslane/standin/appendlog"
 	"hibiscuslane.example/hibiscuslane/standin/directory"
@@ -38,7 +38,7 @@
 	Rack   site.Rack       `json:"rack,omitempty"`
 }
 
-func (m Match) holds(l platform.Listing) bool {
+func (m Match) holds(l upstream.Listing) bool {
 	return (m.ID == "" || m.ID == l.ID) &&
 		(m.Kind == "" || m.Kind == l.Kind) &&
 		(m.Centre == "" || m.Centre == l.Centre) &&
@@ -47,7 +47,7 @@
 
 // subject is an instance with fault switches.
 type subject interface {
-	Listing() platform.Listing
+	Listing() upstream.Listing
 	Fault(data []byte) error
 }
 
@@ -107,7 +107,7 @@
 		changed++
 	}
 	if changed == 0 {
-		return 0, reply.Refuse("fault", platform.RefusedMissing, "no instance matches")
+		return 0, reply.Refuse("fault", upstream.RefusedMissing, "no instance matches")
 	}
 	return changed, nil
 }
@@ -173,20 +173,20 @@
 	directory *directory.Directory
 
 	mu      sync.Mutex
-	listing platform.Listing
+	listing upstream.Listing
 	faults  entryFaults
 }
 
 func list(d *directory.Directory, entry Entry) *listed {
-	l := &listed{directory: d, listing: platform.Listing{
-		ID: entry.ID, Kind: instance.KindEntry, Address: entry.Address, Centre: entry.Centre, State: platform.StateLive,
+	l := &listed{directory: d, listing: upstream.Listing{
+		ID: entry.ID, Kind: instance.KindEntry, Address: entry.Address, Centre: entry.Centre, State: upstream.StateLive,
 	}}
 	d.AddEntry(l.listing)
 	return l
 }
 
 // Listing returns the entry as it is listed after the lag.
-func (l *listed) Listing() platform.Listing {
+func (l *listed) Listing() upstream.Listing {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.listing
@@ -206,9 +206,9 @@
 	if err := reply.Strict("fault of "+string(l.listing.ID), data, &l.faults); err != nil {
 		return err
 	}
-	l.listing.State = platform.StateLive
+	l.listing.State = upstream.StateLive
 	if l.faults.Leaving {
-		l.listing.State = platform.StateLeaving
+		l.listing.State = upstream.StateLeaving
 	}
 	l.directory.Set(l.listing, !l.faults.Off)
 	return nil
--- a/standin/emulator/file.go
+++ b/standin/emulator/file.go
@@ -7,7 +7,7 @@
 	"os"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/site"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
 )
@@ -137,10 +137,10 @@
 }
 
 // listings returns the machines of one kind at one site.
-func (f Fleet) listings(centre site.DataCentre, kind instance.Kind, count int) []platform.Listing {
-	list := make([]platform.Listing, count)
+func (f Fleet) listings(centre site.DataCentre, kind instance.Kind, count int) []upstream.Listing {
+	list := make([]upstream.Listing, count)
 	for i := range list {
-		list[i] = platform.Listing{
+		list[i] = upstream.Listing{
 			ID:     instance.ID(fmt.Sprintf("%s-%s-%d", centre, kind, i+1)),
 			Kind:   kind,
 			Centre: centre,
--- a/standin/machine/machine.go
+++ b/standin/machine/machine.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
 	"hibiscuslane.example/hibiscuslane/standin/socket"
 	"hibiscuslane.example/hibiscuslane/timer"
@@ -18,7 +18,7 @@
 // Options describe a machine.
 type Options struct {
 	// Listing is what the platform lists; Address is the address to listen at and may have port 0.
-	Listing platform.Listing
+	Listing upstream.Listing
 	// Connections is the number of connections above which requests are refused as full; 0 means no
 	// limit.
 	Connections int
@@ -47,11 +47,11 @@
 
 	mu sync.Mutex
 	// listing.Incarnation rises by one with each life.
-	listing platform.Listing
+	listing upstream.Listing
 	life    *life
 	reboot  bool
 	faults  Faults
-	watch   func(platform.Listing, bool)
+	watch   func(upstream.Listing, bool)
 }
 
 // life is the time between two reboots or crashes.
@@ -79,7 +79,7 @@
 	}
 	m := &Machine{options: options, listener: listener, listing: options.Listing, life: newLife()}
 	m.listing.Address = instance.Address(listener.Addr().String())
-	m.listing.State = platform.StateLive
+	m.listing.State = upstream.StateLive
 	m.listing.Incarnation = max(1, m.listing.Incarnation)
 	return m, nil
 }
@@ -102,7 +102,7 @@
 func (m *Machine) Address() instance.Address { return m.Listing().Address }
 
 // Listing returns the present state, without the lag of the platform's list.
-func (m *Machine) Listing() platform.Listing {
+func (m *Machine) Listing() upstream.Listing {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.listing
@@ -110,7 +110,7 @@
 
 // Watch calls f with the present listing and at each change of it. The second argument of f is false
 // while the machine is off. f must not call the machine.
-func (m *Machine) Watch(f func(platform.Listing, bool)) {
+func (m *Machine) Watch(f func(upstream.Listing, bool)) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.watch = f
@@ -138,13 +138,13 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if incarnation != m.listing.Incarnation {
-		return nil, reply.Refuse(call, platform.RefusedIncarnation, "another incarnation is current")
+		return nil, reply.Refuse(call, upstream.RefusedIncarnation, "another incarnation is current")
 	}
-	if m.reboot || m.faults.Off || m.listing.State == platform.StateLeaving {
-		return nil, reply.Refuse(call, platform.RefusedDraining, "the instance takes no new work")
+	if m.reboot || m.faults.Off || m.listing.State == upstream.StateLeaving {
+		return nil, reply.Refuse(call, upstream.RefusedDraining, "the instance takes no new work")
 	}
 	if limit > 0 && m.life.running >= limit {
-		return nil, reply.Refuse(call, platform.RefusedFull, "all slots are taken")
+		return nil, reply.Refuse(call, upstream.RefusedFull, "all slots are taken")
 	}
 	m.life.running++
 	return &Hold{machine: m, life: m.life, Incarnation: incarnation}, nil
@@ -179,7 +179,7 @@
 	if err := m.fenceLocked("drain", incarnation); err != nil {
 		return err
 	}
-	m.listing.State = platform.StateLeaving
+	m.listing.State = upstream.StateLeaving
 	m.notifyLocked()
 	return nil
 }
@@ -195,13 +195,13 @@
 		return nil
 	}
 	if m.life.running > 0 {
-		return reply.Refuse("reboot", platform.RefusedBusy, "work is running")
+		return reply.Refuse("reboot", upstream.RefusedBusy, "work is running")
 	}
 	if err := m.listener.Off(); err != nil {
 		return err
 	}
 	m.reboot = true
-	m.listing.State = platform.StateLeaving
+	m.listing.State = upstream.StateLeaving
 	m.notifyLocked()
 	go m.restart(m.life)
 	return nil
@@ -209,10 +209,10 @@
 
 func (m *Machine) fenceLocked(call string, incarnation instance.Incarnation) error {
 	if m.faults.Off {
-		return reply.Refuse(call, platform.RefusedMissing, "the instance is off")
+		return reply.Refuse(call, upstream.RefusedMissing, "the instance is off")
 	}
 	if incarnation != m.listing.Incarnation {
-		return reply.Refuse(call, platform.RefusedIncarnation, "another incarnation is current")
+		return reply.Refuse(call, upstream.RefusedIncarnation, "another incarnation is current")
 	}
 	return nil
 }
@@ -235,7 +235,7 @@
 	m.life.cancel()
 	m.life = newLife()
 	m.reboot = false
-	m.listing.State = platform.StateLive
+	m.listing.State = upstream.StateLive
 	m.listing.Incarnation++
 	if m.options.Reset != nil {
 		m.options.Reset()
--- a/standin/reply/reply.go
+++ b/standin/reply/reply.go
@@ -8,14 +8,14 @@
 	"io"
 	"net/http"
 
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // bodyLimit bounds a request body, so that a faulty client cannot exhaust memory.
 const bodyLimit = 16 << 20
 
 type refusal struct {
-	Refused platform.Refusal `json:"refused"`
+	Refused upstream.Refusal `json:"refused"`
 	Reason  string           `json:"reason"`
 }
 
@@ -35,26 +35,26 @@
 // Error writes a refusal as the protocol has it. It aborts the connection for any other error,
 // because only a refusal proves that the call had no effect.
 func Error(w http.ResponseWriter, err error) {
-	var refused *platform.RefusedError
+	var refused *upstream.RefusedError
 	if !errors.As(err, &refused) {
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set(platform.HeaderRefused, string(refused.Refusal))
+	w.Header().Set(upstream.HeaderRefused, string(refused.Refusal))
 	JSON(w, Status(refused.Refusal), refusal{Refused: refused.Refusal, Reason: refused.Reason})
 }
 
 // Status returns the HTTP status of a refusal.
-func Status(word platform.Refusal) int {
+func Status(word upstream.Refusal) int {
 	switch word {
-	case platform.RefusedIncarnation, platform.RefusedBusy, platform.RefusedEpoch:
+	case upstream.RefusedIncarnation, upstream.RefusedBusy, upstream.RefusedEpoch:
 		return http.StatusConflict
-	case platform.RefusedDraining, platform.RefusedFull, platform.RefusedDown:
+	case upstream.RefusedDraining, upstream.RefusedFull, upstream.RefusedDown:
 		return http.StatusServiceUnavailable
-	case platform.RefusedExpired:
+	case upstream.RefusedExpired:
 		return http.StatusGone
-	case platform.RefusedMissing:
+	case upstream.RefusedMissing:
 		return http.StatusNotFound
-	case platform.RefusedInvalid:
+	case upstream.RefusedInvalid:
 		return http.StatusBadRequest
 	}
 	return http.StatusBadRequest
@@ -84,10 +84,10 @@
 
 // Invalid returns the refusal of malformed input.
 func Invalid(call, reason string) error {
-	return Refuse(call, platform.RefusedInvalid, reason)
+	return Refuse(call, upstream.RefusedInvalid, reason)
 }
 
 // Refuse returns a refusal.
-func Refuse(call string, word platform.Refusal, reason string) error {
-	return &platform.RefusedError{Call: call, Refusal: word, Reason: reason}
+func Refuse(call string, word upstream.Refusal, reason string) error {
+	return &upstream.RefusedError{Call: call, Refusal: word, Reason: reason}
 }
--- a/standin/target/answer.go
+++ b/standin/target/answer.go
@@ -10,7 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Headers with which a client chooses what the target does. Query parameters time, size, status and
@@ -82,7 +82,7 @@
 }
 
 func (p parameters) answerBody(r *http.Request, received int64, id instance.ID, incarnation instance.Incarnation) []byte {
-	request := r.Header.Get(platform.HeaderRequest)
+	request := r.Header.Get(upstream.HeaderRequest)
 	if p.size > 0 {
 		return Pattern(request, int(p.size))
 	}
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/machine"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
 	"hibiscuslane.example/hibiscuslane/standin/socket"
@@ -25,7 +25,7 @@
 // Options describe a target. The zero value has the default limits and listens at a free port.
 type Options struct {
 	ID      instance.ID
-	Listing platform.Listing
+	Listing upstream.Listing
 	// Slots is the number of requests executed at once.
 	Slots int
 	// Connections is the number of connections above which requests are refused as full.
@@ -133,7 +133,7 @@
 		t.serveJournal(w, r)
 		return
 	}
-	w.Header().Set(platform.HeaderRequest, r.Header.Get(platform.HeaderRequest))
+	w.Header().Set(upstream.HeaderRequest, r.Header.Get(upstream.HeaderRequest))
 	hold, err := t.begin(r)
 	if err != nil {
 		if socket.Excess(r.Context()) {
@@ -148,12 +148,12 @@
 
 func (t *Target) begin(r *http.Request) (*machine.Hold, error) {
 	if socket.Excess(r.Context()) {
-		return nil, reply.Refuse(r.URL.Path, platform.RefusedFull, "all connections are taken")
+		return nil, reply.Refuse(r.URL.Path, upstream.RefusedFull, "all connections are taken")
 	}
-	text := r.Header.Get(platform.HeaderIncarnation)
+	text := r.Header.Get(upstream.HeaderIncarnation)
 	incarnation, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
-		return nil, reply.Refuse(r.URL.Path, platform.RefusedIncarnation, "header "+platform.HeaderIncarnation+" is missing or malformed")
+		return nil, reply.Refuse(r.URL.Path, upstream.RefusedIncarnation, "header "+upstream.HeaderIncarnation+" is missing or malformed")
 	}
 	return t.Begin(r.URL.Path, instance.Incarnation(incarnation), t.slots)
 }
@@ -162,7 +162,7 @@
 // body that it has received in part.
 func (t *Target) execute(w http.ResponseWriter, r *http.Request, hold *machine.Hold) {
 	index := t.record(Execution{
-		Request:     r.Header.Get(platform.HeaderRequest),
+		Request:     r.Header.Get(upstream.HeaderRequest),
 		Method:      r.Method,
 		Path:        r.URL.Path,
 		Key:         r.Header.Get("Idempotency-Key"),
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/machine"
 	"hibiscuslane.example/hibiscuslane/standin/socket"
 	"hibiscuslane.example/hibiscuslane/standin/target"
@@ -47,15 +47,15 @@
 	if err != nil {
 		return 0, "", "", err
 	}
-	request.Header.Set(platform.HeaderIncarnation, incarnation)
-	request.Header.Set(platform.HeaderRequest, "r-1")
+	request.Header.Set(upstream.HeaderIncarnation, incarnation)
+	request.Header.Set(upstream.HeaderRequest, "r-1")
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, "", "", err
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
-	return response.StatusCode, response.Header.Get(platform.HeaderRefused), string(body), err
+	return response.StatusCode, response.Header.Get(upstream.HeaderRefused), string(body), err
 }
 
 // TestRefusals guards against work under an old incarnation or during a drain, and against a refused
@@ -74,7 +74,7 @@
 	require.Equal(t, "draining", refused)
 	require.Empty(t, subject.Journal())
 
-	require.True(t, platform.IsRefused(subject.Reboot(2), platform.RefusedIncarnation))
+	require.True(t, upstream.IsRefused(subject.Reboot(2), upstream.RefusedIncarnation))
 	require.NoError(t, subject.Reboot(1))
 	_, _, _, err = send(client, subject, "1", "")
 	require.Error(t, err, "a rebooting target is not reachable")
@@ -83,7 +83,7 @@
 	require.NoError(t, manual.Await(ctx, 1))
 	manual.Advance(time.Second)
 	require.Eventually(t, func() bool { return subject.Listing().Incarnation == 2 }, patience, time.Millisecond)
-	require.True(t, platform.IsRefused(subject.Reboot(1), platform.RefusedIncarnation))
+	require.True(t, upstream.IsRefused(subject.Reboot(1), upstream.RefusedIncarnation))
 	status, _, _, err = send(client, subject, "2", "status=201")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusCreated, status)
@@ -110,7 +110,7 @@
 	_, refused, _, err := send(client, subject, "1", "")
 	require.NoError(t, err)
 	require.Equal(t, "full", refused)
-	require.True(t, platform.IsRefused(subject.Reboot(1), platform.RefusedBusy))
+	require.True(t, upstream.IsRefused(subject.Reboot(1), upstream.RefusedBusy))
 	manual.Advance(time.Second)
 	group.Wait()
 	require.Zero(t, subject.Running())
--- a/standin/worker/command.go
+++ b/standin/worker/command.go
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // maxRuntime bounds the run time that a command can ask for.
@@ -25,7 +25,7 @@
 
 // parseCommand reads echo, sleep:MS, fail, fail:REASON or usage:CORES:MB:MS. Any other command fails
 // at once, as a program that does not exist.
-func parseCommand(task platform.Task) command {
+func parseCommand(task upstream.Task) command {
 	name, rest, _ := strings.Cut(task.Command, ":")
 	c := command{cores: float64(task.Cores), memory: task.Memory}
 	ok := true
@@ -78,25 +78,25 @@
 // Checkpoints holds the saved progress of tasks. Workers that share it resume each other's tasks.
 type Checkpoints struct {
 	mu    sync.Mutex
-	saved map[platform.TaskID]time.Duration
+	saved map[upstream.TaskID]time.Duration
 }
 
-func (c *Checkpoints) save(task platform.TaskID, progress time.Duration) {
+func (c *Checkpoints) save(task upstream.TaskID, progress time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.saved == nil {
-		c.saved = map[platform.TaskID]time.Duration{}
+		c.saved = map[upstream.TaskID]time.Duration{}
 	}
 	c.saved[task] = progress
 }
 
-func (c *Checkpoints) load(task platform.TaskID) time.Duration {
+func (c *Checkpoints) load(task upstream.TaskID) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.saved[task]
 }
 
-func (c *Checkpoints) remove(task platform.TaskID) {
+func (c *Checkpoints) remove(task upstream.TaskID) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.saved, task)
--- a/standin/worker/run.go
+++ b/standin/worker/run.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/machine"
 )
 
@@ -41,10 +41,10 @@
 
 // run is one epoch of a task on this worker.
 type run struct {
-	task    platform.Task
+	task    upstream.Task
 	command command
 	hold    *machine.Hold
-	state   platform.TaskState
+	state   upstream.TaskState
 	output  string
 	reason  string
 	record  Record
@@ -69,7 +69,7 @@
 // reserved returns the part of the worker's capacity that the run holds. A throttled run gives half
 // of its cores back.
 func (r *run) reserved() resources {
-	if r.state != platform.TaskRunning {
+	if r.state != upstream.TaskRunning {
 		return resources{}
 	}
 	held := resources{cores: r.task.Cores, memory: r.task.Memory, accelerators: r.task.Accelerators}
@@ -84,8 +84,8 @@
 }
 
 // status reports the run with the usage of an earlier time.
-func (r *run) status(seen time.Time) platform.TaskStatus {
-	status := platform.TaskStatus{
+func (r *run) status(seen time.Time) upstream.TaskStatus {
+	status := upstream.TaskStatus{
 		Task: r.task.Task, Epoch: r.task.Epoch, State: r.state, Output: r.output, Reason: r.reason,
 	}
 	for _, s := range r.samples {
@@ -98,22 +98,22 @@
 
 // Record is one run in the journal of a worker.
 type Record struct {
-	Task        platform.TaskID      `json:"task"`
-	Epoch       platform.Epoch       `json:"epoch"`
+	Task        upstream.TaskID      `json:"task"`
+	Epoch       upstream.Epoch       `json:"epoch"`
 	Incarnation instance.Incarnation `json:"incarnation"`
 	Start       time.Time            `json:"start"`
 	// End is nil while the task runs.
 	End    *time.Time         `json:"end"`
-	State  platform.TaskState `json:"state"`
+	State  upstream.TaskState `json:"state"`
 	Reason string             `json:"reason,omitempty"`
 }
 
 // Tasks returns the status of the tasks of this life, oldest start first.
-func (w *Worker) Tasks() []platform.TaskStatus {
+func (w *Worker) Tasks() []upstream.TaskStatus {
 	seen := w.timer.Now().Add(-w.lag)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	statuses := make([]platform.TaskStatus, 0, len(w.order))
+	statuses := make([]upstream.TaskStatus, 0, len(w.order))
 	for _, id := range w.order {
 		statuses = append(statuses, w.runs[id].status(seen))
 	}
@@ -127,7 +127,7 @@
 	defer w.mu.Unlock()
 	records := append([]Record{}, w.journal...)
 	for _, id := range w.order {
-		if r := w.runs[id]; r.state == platform.TaskRunning {
+		if r := w.runs[id]; r.state == upstream.TaskRunning {
 			records = append(records, r.record)
 		}
 	}
@@ -135,7 +135,7 @@
 }
 
 // endLocked ends a running task. The caller unlocks with unlock.
-func (w *Worker) endLocked(r *run, state platform.TaskState, output, reason string) {
+func (w *Worker) endLocked(r *run, state upstream.TaskState, output, reason string) {
 	for _, cancel := range []func() bool{r.lease, r.finish, r.crash} {
 		if cancel != nil {
 			cancel()
@@ -152,10 +152,10 @@
 }
 
 // end ends a run from a callback, unless it has ended before.
-func (w *Worker) end(r *run, state platform.TaskState, output, reason string) {
+func (w *Worker) end(r *run, state upstream.TaskState, output, reason string) {
 	w.mu.Lock()
 	defer w.unlock()
-	if r.state == platform.TaskRunning {
+	if r.state == upstream.TaskRunning {
 		w.endLocked(r, state, output, reason)
 	}
 }
@@ -166,9 +166,9 @@
 	if excess <= 0 {
 		return
 	}
-	kept := make([]platform.TaskID, 0, len(w.order))
+	kept := make([]upstream.TaskID, 0, len(w.order))
 	for _, id := range w.order {
-		if excess > 0 && w.runs[id].state != platform.TaskRunning {
+		if excess > 0 && w.runs[id].state != upstream.TaskRunning {
 			delete(w.runs, id)
 			excess--
 			continue
--- a/standin/worker/task.go
+++ b/standin/worker/task.go
@@ -4,13 +4,13 @@
 	"slices"
 	"time"
 
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/machine"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
 )
 
 // start starts a task under its lease.
-func (w *Worker) start(task platform.Task) error {
+func (w *Worker) start(task upstream.Task) error {
 	call := "start of task " + string(task.Task)
 	if err := check(call, task); err != nil {
 		return err
@@ -29,7 +29,7 @@
 	return nil
 }
 
-func check(call string, task platform.Task) error {
+func check(call string, task upstream.Task) error {
 	switch {
 	case task.Task == "":
 		return reply.Invalid(call, "task is missing")
@@ -46,9 +46,9 @@
 
 func validLease(ms int64) bool { return ms > 0 && ms <= maxLease }
 
-func (w *Worker) admitLocked(call string, task platform.Task) error {
+func (w *Worker) admitLocked(call string, task upstream.Task) error {
 	if task.Epoch <= w.epochs[task.Task] {
-		return reply.Refuse(call, platform.RefusedEpoch, "the epoch is not higher than the last one")
+		return reply.Refuse(call, upstream.RefusedEpoch, "the epoch is not higher than the last one")
 	}
 	need := resources{cores: task.Cores, memory: task.Memory, accelerators: task.Accelerators}
 	for id, r := range w.runs {
@@ -57,23 +57,23 @@
 		}
 	}
 	if !need.within(w.capacity) {
-		return reply.Refuse(call, platform.RefusedFull, "not enough free cores, memory or accelerators")
+		return reply.Refuse(call, upstream.RefusedFull, "not enough free cores, memory or accelerators")
 	}
 	return nil
 }
 
-func (w *Worker) startLocked(task platform.Task, hold *machine.Hold) {
+func (w *Worker) startLocked(task upstream.Task, hold *machine.Hold) {
 	if old, ok := w.runs[task.Task]; ok {
-		if old.state == platform.TaskRunning {
-			w.endLocked(old, platform.TaskStopped, "", reasonSuperseded)
+		if old.state == upstream.TaskRunning {
+			w.endLocked(old, upstream.TaskStopped, "", reasonSuperseded)
 		}
-		w.order = slices.DeleteFunc(w.order, func(id platform.TaskID) bool { return id == task.Task })
+		w.order = slices.DeleteFunc(w.order, func(id upstream.TaskID) bool { return id == task.Task })
 	}
 	now := w.timer.Now()
 	r := &run{
-		task: task, command: parseCommand(task), hold: hold, state: platform.TaskRunning,
+		task: task, command: parseCommand(task), hold: hold, state: upstream.TaskRunning,
 		speed: 1, done: w.checkpoints.load(task.Task), resumed: now,
-		record: Record{Task: task.Task, Epoch: task.Epoch, Incarnation: hold.Incarnation, Start: now, State: platform.TaskRunning},
+		record: Record{Task: task.Task, Epoch: task.Epoch, Incarnation: hold.Incarnation, Start: now, State: upstream.TaskRunning},
 	}
 	r.samples = []sample{{at: now, cores: r.command.cores, memory: r.command.memory}}
 	w.runs[task.Task] = r
@@ -81,10 +81,10 @@
 	w.epochs[task.Task] = task.Epoch
 	w.pruneLocked()
 	if w.fail != "" {
-		w.endLocked(r, platform.TaskFailed, "", w.fail)
+		w.endLocked(r, upstream.TaskFailed, "", w.fail)
 		return
 	}
-	r.crash = hold.OnCrash(func() { w.end(r, platform.TaskStopped, "", reasonCrash) })
+	r.crash = hold.OnCrash(func() { w.end(r, upstream.TaskStopped, "", reasonCrash) })
 	w.leaseLocked(r, task.Lease)
 	w.scheduleLocked(r)
 	w.limitMemoryLocked()
@@ -104,8 +104,8 @@
 func (w *Worker) lapse(r *run, deadline time.Time) {
 	w.mu.Lock()
 	defer w.unlock()
-	if r.state == platform.TaskRunning && r.deadline.Equal(deadline) {
-		w.endLocked(r, platform.TaskLapsed, "", reasonLease)
+	if r.state == upstream.TaskRunning && r.deadline.Equal(deadline) {
+		w.endLocked(r, upstream.TaskLapsed, "", reasonLease)
 	}
 }
 
@@ -128,7 +128,7 @@
 func (w *Worker) complete(r *run, speed float64) {
 	w.mu.Lock()
 	defer w.unlock()
-	if r.state == platform.TaskRunning && r.speed == speed {
+	if r.state == upstream.TaskRunning && r.speed == speed {
 		w.completeLocked(r)
 	}
 }
@@ -136,10 +136,10 @@
 func (w *Worker) completeLocked(r *run) {
 	w.checkpoints.remove(r.task.Task)
 	if r.command.failure != "" {
-		w.endLocked(r, platform.TaskFailed, "", r.command.failure)
+		w.endLocked(r, upstream.TaskFailed, "", r.command.failure)
 		return
 	}
-	w.endLocked(r, platform.TaskDone, r.command.output, "")
+	w.endLocked(r, upstream.TaskDone, r.command.output, "")
 }
 
 // limitMemoryLocked fails the tasks that exceed their declared memory most until the memory in use
@@ -150,7 +150,7 @@
 		var worst *run
 		for _, id := range w.order {
 			r := w.runs[id]
-			if r.state != platform.TaskRunning {
+			if r.state != upstream.TaskRunning {
 				continue
 			}
 			used += r.command.memory
@@ -161,22 +161,22 @@
 		if used <= w.capacity.memory || worst == nil {
 			return
 		}
-		w.endLocked(worst, platform.TaskFailed, "", reasonMemory)
+		w.endLocked(worst, upstream.TaskFailed, "", reasonMemory)
 	}
 }
 
 func (r *run) excess() int { return r.command.memory - r.task.Memory }
 
 // apply calls do for the run of a task, after a check of its epoch.
-func (w *Worker) apply(call string, id platform.TaskID, body verbBody, do func(*run, verbBody) error) error {
+func (w *Worker) apply(call string, id upstream.TaskID, body verbBody, do func(*run, verbBody) error) error {
 	w.mu.Lock()
 	defer w.unlock()
 	r, ok := w.runs[id]
 	if !ok {
-		return reply.Refuse(call, platform.RefusedMissing, "the worker has no such task")
+		return reply.Refuse(call, upstream.RefusedMissing, "the worker has no such task")
 	}
 	if r.task.Epoch != body.Epoch {
-		return reply.Refuse(call, platform.RefusedEpoch, "another epoch is current")
+		return reply.Refuse(call, upstream.RefusedEpoch, "another epoch is current")
 	}
 	return do(r, body)
 }
@@ -185,32 +185,32 @@
 	if !validLease(body.Lease) {
 		return reply.Invalid("renew", "lease must be from 1 ms to 24 h")
 	}
-	if r.state != platform.TaskRunning {
-		return reply.Refuse("renew", platform.RefusedMissing, "the task has ended")
+	if r.state != upstream.TaskRunning {
+		return reply.Refuse("renew", upstream.RefusedMissing, "the task has ended")
 	}
 	w.leaseLocked(r, body.Lease)
 	return nil
 }
 
 func (w *Worker) stop(r *run, _ verbBody) error {
-	if r.state == platform.TaskRunning {
-		w.endLocked(r, platform.TaskStopped, "", reasonStop)
+	if r.state == upstream.TaskRunning {
+		w.endLocked(r, upstream.TaskStopped, "", reasonStop)
 	}
 	return nil
 }
 
 // checkpoint saves the progress of a task and stops it. A later epoch resumes from there.
 func (w *Worker) checkpoint(r *run, _ verbBody) error {
-	if r.state == platform.TaskRunning {
+	if r.state == upstream.TaskRunning {
 		w.checkpoints.save(r.task.Task, r.progress(w.timer.Now()))
-		w.endLocked(r, platform.TaskStopped, "", reasonCheckpoint)
+		w.endLocked(r, upstream.TaskStopped, "", reasonCheckpoint)
 	}
 	return nil
 }
 
 // throttle halves the speed of a task for the rest of its epoch.
 func (w *Worker) throttle(r *run, _ verbBody) error {
-	if r.state != platform.TaskRunning || r.speed < 1 {
+	if r.state != upstream.TaskRunning || r.speed < 1 {
 		return nil
 	}
 	now := w.timer.Now()
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/machine"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
 	"hibiscuslane.example/hibiscuslane/timer"
@@ -23,7 +23,7 @@
 // Options describe a worker. The zero value has the default capacity and listens at a free port.
 type Options struct {
 	ID      instance.ID
-	Listing platform.Listing
+	Listing upstream.Listing
 	// Restart is the time from a reboot to the return of the worker.
 	Restart time.Duration
 	// Lag is the age of the reported usage.
@@ -51,10 +51,10 @@
 	mu   sync.Mutex
 	fail string
 	// runs holds the latest run of each task in this life, order their tasks, oldest start first.
-	runs  map[platform.TaskID]*run
-	order []platform.TaskID
+	runs  map[upstream.TaskID]*run
+	order []upstream.TaskID
 	// epochs holds the highest epoch started of each task in this life.
-	epochs  map[platform.TaskID]platform.Epoch
+	epochs  map[upstream.TaskID]upstream.Epoch
 	journal []Record
 	// ended holds runs whose hold is released when mu is unlocked.
 	ended []*machine.Hold
@@ -81,8 +81,8 @@
 		checkpoints: options.Checkpoints,
 		timer:       options.Timer,
 		capacity:    resources{cores: listing.Cores, memory: listing.Memory, accelerators: listing.Accelerators},
-		runs:        map[platform.TaskID]*run{},
-		epochs:      map[platform.TaskID]platform.Epoch{},
+		runs:        map[upstream.TaskID]*run{},
+		epochs:      map[upstream.TaskID]upstream.Epoch{},
 	}
 	m, err := machine.New(machine.Options{
 		Listing: listing,
@@ -103,15 +103,15 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, r := range w.runs {
-		if r.state == platform.TaskRunning {
-			w.endLocked(r, platform.TaskStopped, "", reasonCrash)
+		if r.state == upstream.TaskRunning {
+			w.endLocked(r, upstream.TaskStopped, "", reasonCrash)
 		}
 	}
 	// The holds belong to the previous life, whose count no longer matters.
 	w.ended = nil
-	w.runs = map[platform.TaskID]*run{}
+	w.runs = map[upstream.TaskID]*run{}
 	w.order = nil
-	w.epochs = map[platform.TaskID]platform.Epoch{}
+	w.epochs = map[upstream.TaskID]upstream.Epoch{}
 }
 
 // unlock releases the holds of ended runs after mu, because a hold locks the machine and the machine
@@ -163,12 +163,12 @@
 }
 
 type verbBody struct {
-	Epoch platform.Epoch `json:"epoch"`
+	Epoch upstream.Epoch `json:"epoch"`
 	Lease int64          `json:"lease"` // milliseconds
 }
 
 type tasksAnswer struct {
-	Tasks []platform.TaskStatus `json:"tasks"`
+	Tasks []upstream.TaskStatus `json:"tasks"`
 }
 
 type journalAnswer struct {
@@ -176,7 +176,7 @@
 }
 
 func (w *Worker) serveStart(rw http.ResponseWriter, r *http.Request) {
-	var task platform.Task
+	var task upstream.Task
 	err := reply.Decode(r, &task)
 	if err == nil {
 		err = w.start(task)
@@ -193,7 +193,7 @@
 		var body verbBody
 		err := reply.Decode(r, &body)
 		if err == nil {
-			err = w.apply(r.URL.Path, platform.TaskID(r.PathValue("task")), body, do)
+			err = w.apply(r.URL.Path, upstream.TaskID(r.PathValue("task")), body, do)
 		}
 		if err != nil {
 			reply.Error(rw, err)
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/worker"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
@@ -18,7 +18,7 @@
 
 var ctx = context.Background()
 
-func start(t *testing.T, options worker.Options) (*worker.Worker, *platform.WorkerClient, *timer.Manual) {
+func start(t *testing.T, options worker.Options) (*worker.Worker, *upstream.WorkerClient, *timer.Manual) {
 	t.Helper()
 	manual := timer.NewManual(time.Unix(1_000_000, 0))
 	options.ID, options.Timer = "worker-1", &manual.Service
@@ -28,14 +28,14 @@
 	transport := &http.Transport{}
 	t.Cleanup(transport.CloseIdleConnections)
 	client := &http.Client{Transport: transport, Timeout: patience}
-	return w, &platform.WorkerClient{Address: w.Listing().Address, HTTP: client}, manual
+	return w, &upstream.WorkerClient{Address: w.Listing().Address, HTTP: client}, manual
 }
 
-func task(id platform.TaskID, epoch platform.Epoch, command string) platform.Task {
-	return platform.Task{Task: id, Epoch: epoch, Incarnation: 1, Lease: 1000, Cores: 4, Memory: 1000, Command: command}
+func task(id upstream.TaskID, epoch upstream.Epoch, command string) upstream.Task {
+	return upstream.Task{Task: id, Epoch: epoch, Incarnation: 1, Lease: 1000, Cores: 4, Memory: 1000, Command: command}
 }
 
-func status(t *testing.T, c *platform.WorkerClient, id platform.TaskID) platform.TaskStatus {
+func status(t *testing.T, c *upstream.WorkerClient, id upstream.TaskID) upstream.TaskStatus {
 	t.Helper()
 	list, err := c.Tasks(ctx)
 	require.NoError(t, err)
@@ -45,10 +45,10 @@
 		}
 	}
 	require.FailNow(t, "task is not listed", id)
-	return platform.TaskStatus{}
+	return upstream.TaskStatus{}
 }
 
-func await(t *testing.T, c *platform.WorkerClient, id platform.TaskID, state platform.TaskState) {
+func await(t *testing.T, c *upstream.WorkerClient, id upstream.TaskID, state upstream.TaskState) {
 	t.Helper()
 	require.Eventually(t, func() bool { return status(t, c, id).State == state }, patience, time.Millisecond)
 }
@@ -58,19 +58,19 @@
 	_, c, manual := start(t, worker.Options{Lag: 2 * time.Second})
 	cases := []struct {
 		command        string
-		state          platform.TaskState
+		state          upstream.TaskState
 		output, reason string
 	}{
-		{"echo", platform.TaskDone, "input", ""},
-		{"fail", platform.TaskFailed, "", "failed"},
-		{"fail:disk full", platform.TaskFailed, "", "disk full"},
-		{"sleep:0", platform.TaskDone, "", ""},
-		{"sleep:-1", platform.TaskFailed, "", "command not found: sleep:-1"},
-		{"usage:1:2", platform.TaskFailed, "", "command not found: usage:1:2"},
-		{"usage:1:70000:500", platform.TaskFailed, "", "out of memory"},
+		{"echo", upstream.TaskDone, "input", ""},
+		{"fail", upstream.TaskFailed, "", "failed"},
+		{"fail:disk full", upstream.TaskFailed, "", "disk full"},
+		{"sleep:0", upstream.TaskDone, "", ""},
+		{"sleep:-1", upstream.TaskFailed, "", "command not found: sleep:-1"},
+		{"usage:1:2", upstream.TaskFailed, "", "command not found: usage:1:2"},
+		{"usage:1:70000:500", upstream.TaskFailed, "", "out of memory"},
 	}
 	for _, c2 := range cases {
-		order := task(platform.TaskID(c2.command), 1, c2.command)
+		order := task(upstream.TaskID(c2.command), 1, c2.command)
 		order.Input = "input"
 		require.NoError(t, c.Start(ctx, order))
 		got := status(t, c, order.Task)
@@ -84,7 +84,7 @@
 	require.Equal(t, 800, status(t, c, "u").Memory)
 	require.InDelta(t, 2.5, status(t, c, "u").Cores, 0)
 	manual.Advance(time.Second)
-	await(t, c, "u", platform.TaskDone)
+	await(t, c, "u", upstream.TaskDone)
 }
 
 // TestLease guards against a task that outlives its lease, and against a renewal that has no effect.
@@ -94,13 +94,13 @@
 	manual.Advance(900 * time.Millisecond)
 	require.NoError(t, c.Renew(ctx, "a", 1, time.Second))
 	manual.Advance(900 * time.Millisecond)
-	require.Equal(t, platform.TaskRunning, status(t, c, "a").State)
-	require.True(t, platform.IsRefused(c.Renew(ctx, "a", 2, time.Minute), platform.RefusedEpoch))
+	require.Equal(t, upstream.TaskRunning, status(t, c, "a").State)
+	require.True(t, upstream.IsRefused(c.Renew(ctx, "a", 2, time.Minute), upstream.RefusedEpoch))
 	manual.Advance(100 * time.Millisecond)
-	await(t, c, "a", platform.TaskLapsed)
-	require.True(t, platform.IsRefused(c.Renew(ctx, "a", 1, time.Minute), platform.RefusedMissing))
+	await(t, c, "a", upstream.TaskLapsed)
+	require.True(t, upstream.IsRefused(c.Renew(ctx, "a", 1, time.Minute), upstream.RefusedMissing))
 	manual.Advance(time.Minute)
-	require.Equal(t, platform.TaskLapsed, w.Journal()[0].State)
+	require.Equal(t, upstream.TaskLapsed, w.Journal()[0].State)
 	require.Equal(t, time.Unix(1_000_001, 900_000_000), w.Journal()[0].End.Local())
 }
 
@@ -108,44 +108,44 @@
 func TestEpoch(t *testing.T) {
 	w, c, _ := start(t, worker.Options{})
 	require.NoError(t, c.Start(ctx, task("a", 2, "sleep:500")))
-	for _, epoch := range []platform.Epoch{1, 2} {
-		require.True(t, platform.IsRefused(c.Start(ctx, task("a", epoch, "echo")), platform.RefusedEpoch))
+	for _, epoch := range []upstream.Epoch{1, 2} {
+		require.True(t, upstream.IsRefused(c.Start(ctx, task("a", epoch, "echo")), upstream.RefusedEpoch))
 	}
 	require.NoError(t, c.Start(ctx, task("a", 3, "sleep:500")))
-	require.True(t, platform.IsRefused(c.Stop(ctx, "a", 2), platform.RefusedEpoch))
+	require.True(t, upstream.IsRefused(c.Stop(ctx, "a", 2), upstream.RefusedEpoch))
 	journal := w.Journal()
 	require.Len(t, journal, 2)
-	require.Equal(t, platform.TaskStopped, journal[0].State)
+	require.Equal(t, upstream.TaskStopped, journal[0].State)
 	require.Nil(t, journal[1].End)
 	require.NoError(t, c.Stop(ctx, "a", 3))
-	require.Equal(t, platform.TaskStopped, status(t, c, "a").State)
-	require.True(t, platform.IsRefused(c.Start(ctx, task("a", 3, "echo")), platform.RefusedEpoch))
-	require.True(t, platform.IsRefused(c.Stop(ctx, "b", 1), platform.RefusedMissing))
+	require.Equal(t, upstream.TaskStopped, status(t, c, "a").State)
+	require.True(t, upstream.IsRefused(c.Start(ctx, task("a", 3, "echo")), upstream.RefusedEpoch))
+	require.True(t, upstream.IsRefused(c.Stop(ctx, "b", 1), upstream.RefusedMissing))
 }
 
 // TestCapacity guards against tasks beyond the capacity, and against capacity that a throttled or
 // ended task keeps.
 func TestCapacity(t *testing.T) {
-	_, c, manual := start(t, worker.Options{Listing: platform.Listing{Cores: 8, Memory: 2500, Accelerators: 1}})
+	_, c, manual := start(t, worker.Options{Listing: upstream.Listing{Cores: 8, Memory: 2500, Accelerators: 1}})
 	big := task("big", 1, "sleep:1000")
 	big.Cores, big.Lease = 8, 60_000
 	require.NoError(t, c.Start(ctx, big))
 	small := task("small", 1, "sleep:100")
-	require.True(t, platform.IsRefused(c.Start(ctx, small), platform.RefusedFull))
+	require.True(t, upstream.IsRefused(c.Start(ctx, small), upstream.RefusedFull))
 	manual.Advance(500 * time.Millisecond)
 	require.NoError(t, c.Throttle(ctx, "big", 1))
 	require.NoError(t, c.Start(ctx, small), "a refused epoch may be tried again")
 	more := task("more", 1, "sleep:100")
 	more.Cores = 0
-	require.True(t, platform.IsRefused(c.Start(ctx, more), platform.RefusedFull), "memory")
+	require.True(t, upstream.IsRefused(c.Start(ctx, more), upstream.RefusedFull), "memory")
 	manual.Advance(100 * time.Millisecond)
-	await(t, c, "small", platform.TaskDone)
+	await(t, c, "small", upstream.TaskDone)
 	more.Accelerators = 2
-	require.True(t, platform.IsRefused(c.Start(ctx, more), platform.RefusedFull), "accelerators")
+	require.True(t, upstream.IsRefused(c.Start(ctx, more), upstream.RefusedFull), "accelerators")
 	manual.Advance(800 * time.Millisecond)
-	require.Equal(t, platform.TaskRunning, status(t, c, "big").State, "a throttled task is slower")
+	require.Equal(t, upstream.TaskRunning, status(t, c, "big").State, "a throttled task is slower")
 	manual.Advance(100 * time.Millisecond)
-	await(t, c, "big", platform.TaskDone)
+	await(t, c, "big", upstream.TaskDone)
 }
 
 // TestCheckpoint guards against progress that is lost between two epochs of a task.
@@ -156,12 +156,12 @@
 	require.NoError(t, c.Start(ctx, order))
 	manual.Advance(700 * time.Millisecond)
 	require.NoError(t, c.Checkpoint(ctx, "a", 1))
-	require.Equal(t, platform.TaskStopped, status(t, c, "a").State)
+	require.Equal(t, upstream.TaskStopped, status(t, c, "a").State)
 	manual.Advance(time.Minute)
 	order.Epoch = 2
 	require.NoError(t, c.Start(ctx, order))
 	manual.Advance(300 * time.Millisecond)
-	await(t, c, "a", platform.TaskDone)
+	await(t, c, "a", upstream.TaskDone)
 }
 
 // TestLives guards against work under an old incarnation, during a drain or after a crash, and against
@@ -171,10 +171,10 @@
 	order := task("a", 1, "sleep:500")
 	require.NoError(t, c.Start(ctx, order))
 	require.NoError(t, w.Drain(1))
-	require.True(t, platform.IsRefused(c.Start(ctx, task("b", 1, "echo")), platform.RefusedDraining))
-	require.True(t, platform.IsRefused(w.Reboot(1), platform.RefusedBusy))
+	require.True(t, upstream.IsRefused(c.Start(ctx, task("b", 1, "echo")), upstream.RefusedDraining))
+	require.True(t, upstream.IsRefused(w.Reboot(1), upstream.RefusedBusy))
 	manual.Advance(500 * time.Millisecond)
-	await(t, c, "a", platform.TaskDone)
+	await(t, c, "a", upstream.TaskDone)
 	require.Eventually(t, func() bool { return w.Running() == 0 }, patience, time.Millisecond)
 	require.NoError(t, w.Reboot(1))
 	// The call also takes the connection that the reboot closed out of the client's pool.
@@ -182,7 +182,7 @@
 	require.NoError(t, manual.Await(ctx, 1))
 	manual.Advance(time.Second)
 	require.Eventually(t, func() bool { return w.Listing().Incarnation == 2 }, patience, time.Millisecond)
-	require.True(t, platform.IsRefused(c.Start(ctx, task("b", 1, "echo")), platform.RefusedIncarnation))
+	require.True(t, upstream.IsRefused(c.Start(ctx, task("b", 1, "echo")), upstream.RefusedIncarnation))
 	order.Incarnation = 2
 	require.NoError(t, c.Start(ctx, order))
 	require.NoError(t, w.Fault([]byte(`{"off":true}`)))
--- a/stream/appender.go
+++ b/stream/appender.go
@@ -9,7 +9,7 @@
 
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
@@ -27,7 +27,7 @@
 // repeats it with the same ids until it succeeds, because a failed append may have taken effect. Set
 // the exported fields before Run.
 type Appender struct {
-	Log    platform.Log
+	Log    upstream.Log
 	Stream record.Stream
 	Writer record.Writer
 	Timer  *timer.Service
--- a/stream/follower.go
+++ b/stream/follower.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/event"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
@@ -30,7 +30,7 @@
 
 // Follower tails one stream into a Folder. Set the exported fields before Run.
 type Follower struct {
-	Log    platform.Log
+	Log    upstream.Log
 	Stream record.Stream
 	Folder Folder
 	Timer  *timer.Service
@@ -169,7 +169,7 @@
 	readCtx, cancel := f.Timer.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	batch, err := f.Log.Read(readCtx, f.Stream, f.Offset(), readLimit, f.wait())
-	if platform.IsExpired(err) && f.Recover != nil {
+	if upstream.IsExpired(err) && f.Recover != nil {
 		f.Events.Warn(eventExpired, "stream", f.Stream, "offset", f.Offset())
 		return f.Recover(ctx)
 	}
@@ -189,7 +189,7 @@
 	return 0
 }
 
-func (f *Follower) apply(batch platform.Batch) {
+func (f *Follower) apply(batch upstream.Batch) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, stored := range batch.Records {
@@ -214,7 +214,7 @@
 	f.changed = nil
 }
 
-func (f *Follower) foldLocked(stored platform.Stored) {
+func (f *Follower) foldLocked(stored upstream.Stored) {
 	envelope, err := record.Decode(stored.Body)
 	if err != nil {
 		f.Events.Warn(eventInvalid, "stream", f.Stream, "offset", stored.Offset, "error", err)
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -12,7 +12,7 @@
 
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
 )
@@ -41,7 +41,7 @@
 	defer l.mu.Unlock()
 	l.tries++
 	if l.down {
-		return 0, &platform.RefusedError{Refusal: platform.RefusedDown}
+		return 0, &upstream.RefusedError{Refusal: upstream.RefusedDown}
 	}
 	first := record.Offset(len(l.records))
 	l.records = append(l.records, records...)
@@ -51,19 +51,19 @@
 	}
 	if l.lose > 0 {
 		l.lose--
-		return 0, &platform.CallError{Call: "append", Cause: errLost}
+		return 0, &upstream.CallError{Call: "append", Cause: errLost}
 	}
 	return first, nil
 }
 
-func (l *memoryLog) Read(ctx context.Context, _ record.Stream, from record.Offset, _ int, _ time.Duration) (platform.Batch, error) {
+func (l *memoryLog) Read(ctx context.Context, _ record.Stream, from record.Offset, _ int, _ time.Duration) (upstream.Batch, error) {
 	for {
 		l.mu.Lock()
 		next := record.Offset(len(l.records))
 		if from < next {
-			batch := platform.Batch{Next: next}
+			batch := upstream.Batch{Next: next}
 			for i := from; i < next; i++ {
-				batch.Records = append(batch.Records, platform.Stored{Offset: i, Body: l.records[i]})
+				batch.Records = append(batch.Records, upstream.Stored{Offset: i, Body: l.records[i]})
 			}
 			l.mu.Unlock()
 			return batch, nil
@@ -75,7 +75,7 @@
 		l.mu.Unlock()
 		select {
 		case <-ctx.Done():
-			return platform.Batch{}, ctx.Err()
+			return upstream.Batch{}, ctx.Err()
 		case <-changed:
 		}
 	}
@@ -111,7 +111,7 @@
 	return c.n
 }
 
-func start(t *testing.T, log platform.Log, state stream.Folder) (*stream.Proposer, context.Context) {
+func start(t *testing.T, log upstream.Log, state stream.Folder) (*stream.Proposer, context.Context) {
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &stream.Follower{Log: log, Stream: "test", Folder: state}
--- a/target/conn_test.go
+++ b/target/conn_test.go
@@ -12,14 +12,14 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // TestHostsForgotten guards against state that grows with every address ever used, whichever way a
 // request ends.
 func TestHostsForgotten(t *testing.T) {
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		w.Header().Set(platform.HeaderRequest, r.Header.Get(platform.HeaderRequest))
+		w.Header().Set(upstream.HeaderRequest, r.Header.Get(upstream.HeaderRequest))
 		if r.URL.Path != "/small" {
 			_, _ = w.Write(bytes.Repeat([]byte("x"), 3<<20))
 		}
--- a/target/health.go
+++ b/target/health.go
@@ -5,7 +5,7 @@
 	"errors"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/route"
 )
 
@@ -16,7 +16,7 @@
 	var broken *BrokenError
 	var crossed *CrossedError
 	var deadline *DeadlineError
-	var refused *platform.RefusedError
+	var refused *upstream.RefusedError
 	switch {
 	case err == nil:
 		return route.ResultAnswered
--- a/target/resend_test.go
+++ b/target/resend_test.go
@@ -14,7 +14,7 @@
 
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/target"
 )
 
@@ -27,7 +27,7 @@
 
 func (d *dropper) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
-	w.Header().Set(platform.HeaderRequest, r.Header.Get(platform.HeaderRequest))
+	w.Header().Set(upstream.HeaderRequest, r.Header.Get(upstream.HeaderRequest))
 	if r.URL.Path != "/drop" {
 		return
 	}
--- a/target/transport.go
+++ b/target/transport.go
@@ -14,7 +14,7 @@
 
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
 
@@ -150,13 +150,13 @@
 
 // receive checks whose response it is and reads it.
 func (e *exchange) receive(raw *http.Response) (*Response, error) {
-	if got := raw.Header.Values(platform.HeaderRequest); len(got) != 1 || RequestID(got[0]) != e.request.ID {
+	if got := raw.Header.Values(upstream.HeaderRequest); len(got) != 1 || RequestID(got[0]) != e.request.ID {
 		_ = e.fail(nil)
 		e.transport.Events.Error(eventCrossed, "target", e.request.Target, "request", e.request.ID, "got", got)
 		return nil, &CrossedError{Try: Try{Target: e.request.Target, Written: true, Fresh: e.link.fresh()}, Want: e.request.ID, Got: got}
 	}
-	if refusal := raw.Header.Get(platform.HeaderRefused); refusal != "" {
-		return nil, e.refused(raw, platform.Refusal(refusal))
+	if refusal := raw.Header.Get(upstream.HeaderRefused); refusal != "" {
+		return nil, e.refused(raw, upstream.Refusal(refusal))
 	}
 	if reason := violation(e.request.Method, raw); reason != "" {
 		return nil, e.fail(&ProtocolError{Reason: reason})
@@ -166,8 +166,8 @@
 
 // refused returns a RefusedError only for the refusals of the target protocol. Anything else is no
 // proof that the request did not run.
-func (e *exchange) refused(raw *http.Response, refusal platform.Refusal) error {
-	known := refusal == platform.RefusedIncarnation || refusal == platform.RefusedDraining || refusal == platform.RefusedFull
+func (e *exchange) refused(raw *http.Response, refusal upstream.Refusal) error {
+	known := refusal == upstream.RefusedIncarnation || refusal == upstream.RefusedDraining || refusal == upstream.RefusedFull
 	if !known || (raw.StatusCode != http.StatusConflict && raw.StatusCode != http.StatusServiceUnavailable) {
 		return e.fail(&ProtocolError{Reason: "unknown refusal " + raw.Status + " " + string(refusal)})
 	}
@@ -177,7 +177,7 @@
 	} else {
 		e.finish()
 	}
-	return &platform.RefusedError{Call: "request to target " + string(e.request.Target), Refusal: refusal, Reason: string(bytes.TrimSpace(reason))}
+	return &upstream.RefusedError{Call: "request to target " + string(e.request.Target), Refusal: refusal, Reason: string(bytes.TrimSpace(reason))}
 }
 
 // violation names what makes a response unusable; it is empty for a usable one.
@@ -210,7 +210,7 @@
 		// An explicit empty value keeps net/http from adding its own name.
 		header.Set("User-Agent", "")
 	}
-	header.Set(platform.HeaderRequest, string(r.ID))
-	header.Set(platform.HeaderIncarnation, formatIncarnation(r.Incarnation))
+	header.Set(upstream.HeaderRequest, string(r.ID))
+	header.Set(upstream.HeaderIncarnation, formatIncarnation(r.Incarnation))
 	return header
 }
--- a/target/transport_test.go
+++ b/target/transport_test.go
@@ -16,7 +16,7 @@
 
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/route"
 	"hibiscuslane.example/hibiscuslane/target"
 )
@@ -37,7 +37,7 @@
 		{"response to another request", answer(http.StatusOK, "other", ""), failure.OutcomeUnknown, failure.CodeBroken},
 		{"response without an id", answer(http.StatusOK, "", ""), failure.OutcomeUnknown, failure.CodeBroken},
 		{"response with two ids", func(w http.ResponseWriter, _ *http.Request) {
-			w.Header()[platform.HeaderRequest] = []string{"r", "other"}
+			w.Header()[upstream.HeaderRequest] = []string{"r", "other"}
 		}, failure.OutcomeUnknown, failure.CodeBroken},
 		{"truncated by length", raw("HTTP/1.1 200 OK\r\nPlatform-Request: r\r\nContent-Length: 9\r\n\r\nhalf"), failure.OutcomeUnknown, failure.CodeBroken},
 		{"truncated by chunk", raw("HTTP/1.1 200 OK\r\nPlatform-Request: r\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"), failure.OutcomeUnknown, failure.CodeBroken},
@@ -62,10 +62,10 @@
 func answer(status int, id, refused string) func(http.ResponseWriter, *http.Request) {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		if id != "" {
-			w.Header().Set(platform.HeaderRequest, id)
+			w.Header().Set(upstream.HeaderRequest, id)
 		}
 		if refused != "" {
-			w.Header().Set(platform.HeaderRefused, refused)
+			w.Header().Set(upstream.HeaderRefused, refused)
 		}
 		w.WriteHeader(status)
 	}
@@ -155,7 +155,7 @@
 func echo(w http.ResponseWriter, r *http.Request) {
 	data, _ := io.ReadAll(r.Body)
 	times, _ := strconv.Atoi(r.Header.Get("Times"))
-	w.Header().Set(platform.HeaderRequest, r.Header.Get(platform.HeaderRequest))
+	w.Header().Set(upstream.HeaderRequest, r.Header.Get(upstream.HeaderRequest))
 	for range times {
 		_, _ = w.Write(data)
 	}
--- a/platform/error.go
+++ b/upstream/error.go
@@ -1,4 +1,4 @@
-package platform
+package upstream
 
 import (
 	"errors"
--- a/platform/platform.go
+++ b/upstream/upstream.go
@@ -1,7 +1,7 @@
-// Package platform defines what the system uses of the platform: the append-only log, the list of
+// Package upstream defines what the system uses of the platform: the append-only log, the list of
 // instances, drain and reboot, and the task interface of workers. Client types speak the published
 // HTTP protocol.
-package platform
+package upstream
 
 import (
 	"context"
