--- a/cmd/root.go
+++ b/cmd/root.go
@@ -51,6 +51,6 @@
 		SilenceUsage:  true,
 		SilenceErrors: true,
 	}
-	root.AddCommand(newServe(), newCheck(), newFetch(), newPublish(), newStatus(), newAudit(), newJob())
+	root.AddCommand(newServe(), newRun(), newCheck(), newFetch(), newPublish(), newStatus(), newAudit(), newJob())
 	return root
 }
--- /dev/null
+++ b/dispatch/dispatch.go
@@ -0,0 +1,254 @@
+// Package dispatch is the work of the owner: it accepts jobs, starts their tasks on workers, follows
+// their ends, and keeps what must last in the ledger. One process is the owner at a time; its epoch
+// fences the ledger and every worker against earlier ones.
+package dispatch
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/event"
+	"hibiscuslane.example/hibiscuslane/ledger"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/queue"
+	"hibiscuslane.example/hibiscuslane/task"
+	"hibiscuslane.example/hibiscuslane/tenure"
+	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/worker"
+)
+
+const (
+	// cycleGap is the least time between two cycles of placing and storing. It bounds the appends of the
+	// owner to 50 a second; the platform allows 800 for all.
+	cycleGap = 20 * time.Millisecond
+	// tickPeriod is the time between checks of leases, due times and orders without an answer.
+	tickPeriod = 50 * time.Millisecond
+	// openDelay is the pause before a failed start of a tenure is repeated.
+	openDelay = 100 * time.Millisecond
+	// inheritTime is how long runs of an earlier owner are kept on workers that this one cannot reach: the
+	// earlier owner may have renewed them until the end of its membership, and a clock may be 2 % slow.
+	inheritTime = tenure.TTL + leaseTime + leaseTime/20
+	// runsPerEpoch separates the run numbers of tenures.
+	runsPerEpoch = 1000
+)
+
+// Bounds are the periods of the platform's contract that the owner keeps to.
+type Bounds struct {
+	// MaxLease is the longest lease that a worker grants.
+	MaxLease time.Duration
+	// Heartbeat is the time between two registrations of a worker.
+	Heartbeat time.Duration
+	// Status is how long the state of a job is told after its end.
+	Status time.Duration
+	// Stop is the longest time that a worker takes to stop a task.
+	Stop time.Duration
+	// Turn is the time for which no two processes may give orders for one machine.
+	Turn time.Duration
+	// Move and Maintenance are the times that a machine is away.
+	Move, Maintenance time.Duration
+	// Notice is how long a task must have been back at work before another of its step may be taken away.
+	Notice time.Duration
+}
+
+// Dispatcher is the owner of one tenure.
+type Dispatcher struct {
+	store   *platform.Store
+	fleet   *platform.Fleet
+	clients Clients
+	bounds  Bounds
+	clock   *timer.Service
+	log     event.Log
+	epoch   platform.Generation
+	// began is when the tenure began.
+	began time.Time
+	ctx   context.Context
+	kick  chan struct{}
+
+	mu       sync.Mutex
+	ledger   *ledger.Ledger // nil until the stored jobs are loaded
+	config   *queue.Config
+	jobs     map[task.JobID]*job
+	open     []*job // jobs that have not ended, in the order of acceptance
+	stations map[worker.ID]*station
+	listed   map[worker.ID]worker.Listing
+	runs     map[runID]*run
+	dirty    []*job
+	upkeep   upkeep
+	learned  map[string]*experience
+	counters Counters
+	// closing is set once no new work is taken.
+	closing bool
+}
+
+// Clients are the HTTP clients for calls to workers.
+type Clients struct {
+	// Waiting is for calls whose answers may wait, Orders for all others.
+	Waiting, Orders *http.Client
+}
+
+// Counters count what the owner did.
+type Counters struct {
+	Accepted, Started, Done, Failed, Lapsed, Doubted, Refused, Moved, Maintained int64
+}
+
+// job is a job with what only this tenure knows.
+type job struct {
+	*task.Job
+	queue queue.Queue
+	// stored is set once the ledger has the job.
+	stored bool
+	// intake is set once the job's intake was given to the ledger.
+	intake bool
+	dirty  bool
+	// after is called with the outcome of the next write of the job.
+	after []func(error)
+	// held is the number of runs by step and worker.
+	running int
+}
+
+// runID names a run.
+type runID struct {
+	key task.Key
+	run task.RunNumber
+}
+
+// Options are the parts that a Dispatcher uses.
+type Options struct {
+	Store   *platform.Store
+	Fleet   *platform.Fleet
+	Clients Clients
+	Bounds  Bounds
+	Clock   *timer.Service
+	Log     event.Log
+	Config  *queue.Config
+}
+
+// New returns the owner of a tenure with the given epoch.
+func New(ctx context.Context, epoch platform.Generation, o Options) *Dispatcher {
+	return &Dispatcher{
+		store: o.Store, fleet: o.Fleet, clients: o.Clients, bounds: o.Bounds, clock: o.Clock, log: o.Log, epoch: epoch,
+		began: o.Clock.Now(), ctx: ctx, kick: make(chan struct{}, 1), config: o.Config,
+		jobs: map[task.JobID]*job{}, stations: map[worker.ID]*station{}, listed: map[worker.ID]worker.Listing{},
+		runs: map[runID]*run{}, learned: map[string]*experience{},
+	}
+}
+
+// Run works until the context ends or a later owner has fenced the ledger. It returns the reason.
+func (d *Dispatcher) Run() error {
+	written, err := d.load()
+	if err != nil {
+		return err
+	}
+	go d.follow()
+	go d.maintain()
+	go d.cycles()
+	return written.Run(d.ctx)
+}
+
+// load opens the ledger and restores the stored jobs.
+func (d *Dispatcher) load() (*ledger.Ledger, error) {
+	for {
+		opened, records, err := ledger.Open(d.ctx, d.store, ledger.TopicJobs, d.epoch, d.clock, d.log)
+		if err == nil {
+			d.restore(opened, records)
+			return opened, nil
+		}
+		if platform.IsFenced(err) || d.ctx.Err() != nil {
+			return nil, err
+		}
+		d.log.Warn(eventOpen, "epoch", d.epoch, "error", err)
+		if err := d.clock.Sleep(d.ctx, openDelay); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// SetConfig puts a configuration in force.
+func (d *Dispatcher) SetConfig(config *queue.Config) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.config = config
+	for _, j := range d.open {
+		d.route(j)
+	}
+	d.wake()
+}
+
+// route takes the pool of a job's queue from the configuration. A queue that was removed keeps its last pool.
+func (d *Dispatcher) route(j *job) {
+	q, ok := d.config.Queue(queue.Name(j.Queue))
+	if !ok {
+		return
+	}
+	j.queue = q
+	j.Pool = q.Pool
+}
+
+// Stalled returns how long the ledger has waited for the store.
+func (d *Dispatcher) Stalled() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.ledger == nil {
+		return d.clock.Since(d.began)
+	}
+	return d.ledger.Stalled()
+}
+
+// Loaded reports whether the stored jobs are loaded.
+func (d *Dispatcher) Loaded() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ledger != nil
+}
+
+// Drain refuses new work and waits until all writes have an outcome, or ctx ends.
+func (d *Dispatcher) Drain(ctx context.Context) {
+	d.mu.Lock()
+	written := d.ledger
+	if written != nil {
+		d.closing = true
+		d.flush()
+	}
+	d.mu.Unlock()
+	if written != nil {
+		written.Flush(ctx)
+	}
+}
+
+// wake asks for a cycle.
+func (d *Dispatcher) wake() {
+	select {
+	case d.kick <- struct{}{}:
+	default:
+	}
+}
+
+// cycles places and stores whenever something has changed.
+func (d *Dispatcher) cycles() {
+	tick := d.clock.Every(tickPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case <-tick.C():
+		case <-d.kick:
+		}
+		d.mu.Lock()
+		d.check()
+		d.place()
+		d.flush()
+		d.mu.Unlock()
+		if d.clock.Sleep(d.ctx, cycleGap) != nil {
+			return
+		}
+	}
+}
+
+// experience is what ended tasks of one kind have taught.
+type experience struct {
+	// ratio is the moving average of actual to estimated duration.
+	ratio float64
+}
--- /dev/null
+++ b/dispatch/durable.go
@@ -0,0 +1,203 @@
+package dispatch
+
+import (
+	"strings"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/ledger"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/task"
+	"hibiscuslane.example/hibiscuslane/worker"
+)
+
+// Keys of the ledger: the intake of a job and its progress.
+const (
+	intakeKey   = "job/"
+	progressKey = "run/"
+	// dropSlack is added to the time that the state of a job is told before it is dropped.
+	dropSlack = 30 * time.Second
+	// maxDirty bounds the jobs in one write.
+	maxDirty = 200
+)
+
+// mark notes that the progress of a job is to be stored. The functions are called with the outcome.
+func (d *Dispatcher) mark(j *job, after ...func(error)) {
+	if !j.dirty {
+		j.dirty = true
+		d.dirty = append(d.dirty, j)
+	}
+	j.after = append(j.after, after...)
+	d.wake()
+}
+
+// acks are the ends that may be acknowledged once a write is stored.
+type ack struct {
+	station *station
+	birth   worker.Birth
+	number  worker.EndNumber
+}
+
+// flush gives all changed jobs to the ledger, and acknowledges ends once they are stored.
+func (d *Dispatcher) flush() {
+	if d.ledger == nil {
+		return
+	}
+	var acks []ack
+	for _, s := range d.stations {
+		if s.listedEnd > s.storing {
+			s.storing = s.listedEnd
+			acks = append(acks, ack{station: s, birth: s.birth, number: s.listedEnd})
+		}
+	}
+	if len(d.dirty) == 0 {
+		for _, a := range acks {
+			d.acknowledge(a)
+		}
+		return
+	}
+	var records []platform.Record
+	var after []func(error)
+	for _, j := range d.dirty {
+		j.dirty = false
+		records = append(records, d.records(j)...)
+		after = append(after, j.after...)
+		j.after = nil
+	}
+	d.dirty = d.dirty[:0]
+	d.ledger.Write(records, func(err error) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		for _, f := range after {
+			f(err)
+		}
+		if err != nil {
+			return
+		}
+		for _, a := range acks {
+			d.acknowledge(a)
+		}
+		d.wake()
+	})
+}
+
+// records returns the stored form of what has changed in a job.
+func (d *Dispatcher) records(j *job) []platform.Record {
+	var records []platform.Record
+	if !j.intake {
+		j.intake = true
+		data, err := j.Intake()
+		if err != nil {
+			d.log.Error(eventEncode, "job", j.ID, "error", err)
+			return nil
+		}
+		records = append(records, platform.Record{Key: intakeKey + string(j.ID), Value: data})
+	}
+	data, err := j.Progress()
+	if err != nil {
+		d.log.Error(eventEncode, "job", j.ID, "error", err)
+		return records
+	}
+	if j.Outcome != "" {
+		records = append(records, platform.Record{Key: intakeKey + string(j.ID)})
+	}
+	return append(records, platform.Record{Key: progressKey + string(j.ID), Value: data})
+}
+
+// acknowledge lets a session tell its worker that ends are stored.
+func (d *Dispatcher) acknowledge(a ack) {
+	if a.station.birth != a.birth || a.number <= a.station.stored {
+		return
+	}
+	a.station.stored = a.number
+	a.station.poke()
+}
+
+// restore takes over the jobs that the ledger holds.
+func (d *Dispatcher) restore(l *ledger.Ledger, records []platform.Record) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	progress := map[task.JobID][]byte{}
+	for _, r := range records {
+		if id, ok := strings.CutPrefix(r.Key, progressKey); ok && len(r.Value) > 0 {
+			progress[task.JobID(id)] = r.Value
+		}
+	}
+	for _, r := range records {
+		if strings.HasPrefix(r.Key, waveKey) && len(r.Value) > 0 {
+			d.restoreWave(r.Value)
+		}
+		id, ok := strings.CutPrefix(r.Key, intakeKey)
+		if !ok || len(r.Value) == 0 {
+			continue
+		}
+		restored, err := task.ParseIntake(task.JobID(id), r.Value)
+		if err == nil && progress[restored.ID] != nil {
+			err = restored.Restore(progress[restored.ID])
+		}
+		if err != nil {
+			d.log.Error(eventDecode, "job", id, "error", err)
+			continue
+		}
+		delete(progress, restored.ID)
+		d.adopt(restored)
+	}
+	for id, data := range progress {
+		ended, err := task.ParseEnded(id, data)
+		if err != nil {
+			d.log.Error(eventDecode, "job", id, "error", err)
+			continue
+		}
+		d.jobs[id] = &job{Job: ended, stored: true, intake: true}
+	}
+	d.ledger = l
+	d.log.Info(eventOwner, "epoch", d.epoch, "jobs", len(d.jobs), "open", len(d.open), "runs", len(d.runs))
+	d.wake()
+}
+
+// adopt adds a stored job and the runs that its previous owner ordered.
+func (d *Dispatcher) adopt(restored *task.Job) {
+	j := &job{Job: restored, stored: true, intake: true}
+	d.jobs[j.ID] = j
+	if j.Outcome != "" {
+		return
+	}
+	d.route(j)
+	d.insert(j)
+	for k, pass := range j.Passes {
+		for i := range pass.Steps {
+			for n := range pass.Steps[i].Tasks {
+				t := &pass.Steps[i].Tasks[n]
+				for _, place := range t.Places {
+					key := task.Key{Job: j.ID, Occurrence: k, Step: i, Task: n}
+					d.inherit(j, key, place)
+				}
+			}
+		}
+	}
+}
+
+// insert adds a job to the open ones, in the order of acceptance.
+func (d *Dispatcher) insert(j *job) {
+	i := len(d.open)
+	for i > 0 && d.open[i-1].Accepted.After(j.Accepted) {
+		i--
+	}
+	d.open = append(d.open, nil)
+	copy(d.open[i+1:], d.open[i:])
+	d.open[i] = j
+}
+
+// drop forgets jobs whose state need no longer be told.
+func (d *Dispatcher) drop(now time.Time) {
+	var records []platform.Record
+	for id, j := range d.jobs {
+		if j.Outcome == "" || now.Sub(j.Ended) < d.bounds.Status+dropSlack || len(records) >= maxDirty {
+			continue
+		}
+		records = append(records, platform.Record{Key: progressKey + string(id)})
+		delete(d.jobs, id)
+	}
+	if len(records) > 0 {
+		d.ledger.Write(records, nil)
+	}
+}
--- /dev/null
+++ b/dispatch/place.go
@@ -0,0 +1,230 @@
+package dispatch
+
+import (
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/schedule"
+	"hibiscuslane.example/hibiscuslane/task"
+	"hibiscuslane.example/hibiscuslane/worker"
+)
+
+const (
+	// lateFactor bounds lateness: a job that takes more than this many times its objective earns nothing.
+	lateFactor = 3
+)
+
+// place starts waiting tasks on workers with room. The orders are sent once their places are stored.
+func (d *Dispatcher) place() {
+	if d.ledger == nil || d.config == nil || d.closing {
+		return
+	}
+	now := d.clock.Now()
+	demands := map[pool.Name][]*schedule.Demand{}
+	for _, j := range d.open {
+		d.demands(j, now, demands)
+	}
+	for name, list := range demands {
+		workers := d.workers(name, now)
+		if len(workers) == 0 {
+			continue
+		}
+		for _, a := range schedule.Plan(now, workers, list) {
+			d.assign(a)
+		}
+	}
+}
+
+// demands adds the waiting tasks of a job to those of its pool.
+func (d *Dispatcher) demands(j *job, now time.Time, into map[pool.Name][]*schedule.Demand) {
+	for k := range j.Spec.Occurrences() {
+		if j.Spec.Repeat > 0 && now.Before(j.Spec.Due(k)) {
+			break
+		}
+		pass := j.Pass(k)
+		if pass.Open == 0 {
+			continue
+		}
+		for i := range pass.Steps {
+			if demand := d.demand(j, k, i, now); demand != nil {
+				into[j.Pool] = append(into[j.Pool], demand)
+			}
+		}
+	}
+}
+
+// demand returns the waiting tasks of a step, or nil if there are none.
+func (d *Dispatcher) demand(j *job, k, step int, now time.Time) *schedule.Demand {
+	pass := j.Pass(k)
+	progress := &pass.Steps[step]
+	spec := j.Spec.Steps[step]
+	if progress.Done == spec.Count || !j.Ready(k, step, now) {
+		return nil
+	}
+	demand := &schedule.Demand{Job: j.ID, Occurrence: k, Step: step, Spec: spec, Priority: j.queue.Priority, Since: j.Accepted}
+	for i := range progress.Tasks {
+		t := &progress.Tasks[i]
+		if len(t.Places) > 0 {
+			d.count(demand, j, task.Key{Job: j.ID, Occurrence: k, Step: step, Task: i}, t)
+			continue
+		}
+		if t.Done || now.Before(t.Since) {
+			continue
+		}
+		demand.Tasks = append(demand.Tasks, i)
+		if len(t.Blamed) > 0 {
+			if demand.Avoid == nil {
+				demand.Avoid = map[int][]string{}
+			}
+			demand.Avoid[i] = t.Blamed
+		}
+	}
+	if len(demand.Tasks) == 0 || spec.Gang && len(demand.Tasks) < spec.Count {
+		return nil
+	}
+	d.objective(j, k, pass, demand)
+	return demand
+}
+
+// count adds the runs of a task to those that the step has on each worker.
+func (d *Dispatcher) count(demand *schedule.Demand, j *job, key task.Key, t *task.Task) {
+	if demand.Held == nil {
+		demand.Held = map[worker.ID]int{}
+		demand.Racks = map[string]int{}
+	}
+	for _, place := range t.Places {
+		id := worker.ID(place.Worker)
+		demand.Held[id]++
+		if s := d.stations[id]; s != nil {
+			demand.Racks[s.rack]++
+		}
+	}
+}
+
+// objective sets the times that order a demand.
+func (d *Dispatcher) objective(j *job, k int, pass *task.Occurrence, demand *schedule.Demand) {
+	begin := j.Accepted
+	if j.Spec.Repeat > 0 {
+		begin = j.Spec.Due(k)
+	}
+	allowed := time.Duration(j.queue.Stretch*float64(j.Chain(nil))) + j.queue.Latency
+	demand.Due = begin.Add(allowed)
+	demand.Limit = begin.Add(lateFactor * allowed)
+	demand.Left = j.Chain(pass)
+}
+
+// workers returns the workers of a pool that may take tasks.
+func (d *Dispatcher) workers(name pool.Name, now time.Time) []*schedule.Worker {
+	var list []*schedule.Worker
+	for _, s := range d.stations {
+		if s.listing.Pool != name || !d.usable(s, now) {
+			continue
+		}
+		w := &schedule.Worker{
+			ID: s.id, Rack: s.rack, Labels: s.listing.Labels, Capacity: s.listing.Capacity,
+			Free: s.listing.Capacity.Sub(s.used), Leaving: s.leaving, Due: d.upkeep.due(s.listing.Machine), Suspect: now.Before(s.suspect),
+		}
+		for _, r := range s.runs {
+			if r.step.Target > 0 {
+				w.Serving++
+			}
+			if r.step.Fills {
+				w.Filling++
+			}
+		}
+		list = append(list, w)
+	}
+	return list
+}
+
+// usable reports whether a worker takes tasks.
+func (d *Dispatcher) usable(s *station, now time.Time) bool {
+	l, listed := d.listed[s.id]
+	return listed && l.State == worker.StateReady && s.fenced && s.lease.Known() && s.silent.IsZero() && !d.upkeep.busy(l.Machine)
+}
+
+// assign stores the place of a task and orders its start once it is stored.
+func (d *Dispatcher) assign(a schedule.Assignment) {
+	j := d.jobs[a.Demand.Job]
+	s := d.stations[a.Worker]
+	key := task.Key{Job: j.ID, Occurrence: a.Demand.Occurrence, Step: a.Demand.Step, Task: a.Task}
+	t := j.Task(key)
+	step := &j.Spec.Steps[key.Step]
+	number := max(t.Last+1, d.firstRun())
+	if step.Gang {
+		number = d.gangRun(j, key)
+	}
+	r := &run{
+		id: runID{key: key, run: number}, job: j, worker: s.id, station: s, birth: s.birth, step: step,
+		demand: step.Demand(), phase: phaseStored, percent: 100, ordered: d.clock.Now(),
+	}
+	t.Last = r.id.run
+	t.Places = append(t.Places, task.Place{Worker: string(s.id), Birth: int64(s.birth), Run: r.id.run})
+	d.runs[r.id] = r
+	s.hold(r)
+	j.running++
+	d.log.Debug(eventPlace, "task", key, "run", r.id.run, "worker", s.id, "free", s.listing.Capacity.Sub(s.used).CPU, "priority", j.queue.Priority)
+	d.mark(j, func(err error) {
+		if err != nil {
+			return // the tenure is over
+		}
+		d.start(r)
+	})
+}
+
+// gangRun returns the run number of a gang: the same for all members.
+func (d *Dispatcher) gangRun(j *job, key task.Key) task.RunNumber {
+	number := d.firstRun()
+	for i := range j.Spec.Steps[key.Step].Count {
+		key.Task = i
+		t := j.Task(key)
+		if len(t.Places) > 0 {
+			return t.Last // the member that was assigned first has set it
+		}
+		number = max(number, t.Last+1)
+	}
+	return number
+}
+
+// check handles what is due without an event: leases that have expired and workers that are gone.
+func (d *Dispatcher) check() {
+	now := d.clock.Now()
+	for _, s := range d.stations {
+		if !s.silent.IsZero() && len(s.runs) > 0 && s.lease.Known() && s.lease.Expired(now) {
+			d.lapse(s, now)
+		}
+		_, listed := d.listed[s.id]
+		if !listed && len(s.runs) == 0 && s.stored == s.listedEnd {
+			s.cancel()
+			delete(d.stations, s.id)
+			continue
+		}
+		for _, r := range s.runs {
+			d.overdue(r, now)
+		}
+	}
+	d.unreached(now)
+	if d.ledger != nil {
+		d.drop(now)
+	}
+}
+
+// overdue repeats stops.
+func (d *Dispatcher) overdue(r *run, now time.Time) {
+	if r.phase == phaseStopping && r.voided.IsZero() {
+		d.repeatStop(r, now)
+	}
+}
+
+// unreached gives up runs of earlier owners on workers that this one has not reached, once their leases
+// have certainly expired. The earlier owner may have renewed them until its own ownership ended.
+func (d *Dispatcher) unreached(now time.Time) {
+	if now.Sub(d.began) < inheritTime {
+		return
+	}
+	for _, r := range d.runs {
+		if r.phase == phaseDoubt && r.id.run < d.firstRun() && (r.station == nil || !r.station.fenced) {
+			d.vanished(r, worker.CauseLapsed, now)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/station.go
@@ -0,0 +1,345 @@
+package dispatch
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/task"
+	"hibiscuslane.example/hibiscuslane/worker"
+)
+
+const (
+	// leaseTime is the lease that workers are given. It outlasts the change of an owner that fell silent.
+	leaseTime = 3500 * time.Millisecond
+	// renewWait is how long a worker may wait with the answer to a renewal. It leaves room for two more
+	// renewals before the lease ends.
+	renewWait = 900 * time.Millisecond
+	// renewSlack is added to renewWait before a renewal without an answer is repeated.
+	renewSlack = 500 * time.Millisecond
+	// renewGap is the pause after a renewal that listed an end, so that one more renewal lists several.
+	renewGap = 25 * time.Millisecond
+	// orderTimeout bounds an order. Workers answer at once and are a few milliseconds away.
+	orderTimeout = 400 * time.Millisecond
+	// failPause is the pause after a call without an answer.
+	failPause = 100 * time.Millisecond
+	// maxOrders bounds the orders that wait for one worker.
+	maxOrders = 4096
+	// suspectTime is how long a worker takes tasks last after it refused or failed one.
+	suspectTime = 2 * time.Second
+	// failStreak is the number of failures without a success after which a worker is suspected to fail
+	// everything.
+	failStreak = 3
+	// quarantineTime is how long a worker that fails everything takes tasks last.
+	quarantineTime = 8 * time.Second
+)
+
+// station is what the owner knows of one worker. It is guarded by the lock of the Dispatcher.
+type station struct {
+	id      worker.ID
+	birth   worker.Birth
+	listing worker.Listing
+	caller  *platform.Worker
+	rack    string
+	lease   worker.Lease
+	runs    map[runID]*run
+	// used is the room that runs hold, those without an answer and those being stopped among them.
+	used task.Room
+	// fenced is set once the worker has answered with the token of this tenure.
+	fenced bool
+	// listedEnd is the last end that was processed, storing the last that was given to the ledger, stored
+	// the last that the ledger has, and acked the last that the worker was told to forget.
+	listedEnd, storing, stored, acked worker.EndNumber
+	// heard is when the last look arrived, silent when calls began to go without an answer.
+	heard, silent time.Time
+	// suspect is until when the worker takes tasks last.
+	suspect time.Time
+	// streak is the number of failed runs since the last one that was done.
+	streak int
+	orders chan func(context.Context)
+	wakeup chan struct{}
+	cancel context.CancelFunc
+	// leaving is set while the machine is to be emptied.
+	leaving bool
+	// drained is when the worker was first listed as draining.
+	drained time.Time
+}
+
+// poke lets the session look at its worker now.
+func (s *station) poke() {
+	select {
+	case s.wakeup <- struct{}{}:
+	default:
+	}
+}
+
+// order queues an order. Orders to one worker are sent one after the other.
+func (s *station) order(f func(context.Context)) bool {
+	select {
+	case s.orders <- f:
+		return true
+	default:
+		return false
+	}
+}
+
+// rackOf returns the rack among the labels of a worker: the last one that has the form of a place.
+func rackOf(labels []string) string {
+	for i := len(labels) - 1; i >= 0; i-- {
+		if strings.Contains(labels[i], "-") {
+			return labels[i]
+		}
+	}
+	if len(labels) > 1 {
+		return labels[len(labels)-1]
+	}
+	return ""
+}
+
+// admit starts a session with a worker that is listed for the first time.
+func (d *Dispatcher) admit(l worker.Listing) *station {
+	ctx, cancel := context.WithCancel(d.ctx)
+	s := &station{
+		id: l.ID, birth: l.Birth, listing: l, rack: rackOf(l.Labels), runs: map[runID]*run{},
+		caller: &platform.Worker{ID: l.ID, Address: l.Address, Waiting: d.clients.Waiting, Orders: d.clients.Orders},
+		orders: make(chan func(context.Context), maxOrders), wakeup: make(chan struct{}, 1), cancel: cancel,
+		heard: d.clock.Now(),
+	}
+	d.stations[l.ID] = s
+	for _, r := range d.runs {
+		if r.worker == l.ID {
+			r.station = s
+			s.hold(r)
+		}
+	}
+	go d.session(ctx, s)
+	go d.send(ctx, s)
+	return s
+}
+
+// hold reserves the room of a run.
+func (s *station) hold(r *run) {
+	s.runs[r.id] = r
+	s.used = s.used.Add(r.demand)
+}
+
+// free returns the room of a run.
+func (s *station) free(r *run) {
+	if s.runs[r.id] == r {
+		delete(s.runs, r.id)
+		s.used = s.used.Sub(r.demand)
+	}
+}
+
+// send gives the orders of a worker, one after the other.
+func (d *Dispatcher) send(ctx context.Context, s *station) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-s.orders:
+			call, cancel := d.clock.WithTimeout(ctx, orderTimeout)
+			f(call)
+			cancel()
+		}
+	}
+}
+
+// session renews the lease of a worker while something runs there, and learns what has ended.
+func (d *Dispatcher) session(ctx context.Context, s *station) {
+	for ctx.Err() == nil {
+		look, ok := d.renewal(s)
+		if !ok {
+			select {
+			case <-ctx.Done():
+				return
+			case <-s.wakeup:
+			}
+			continue
+		}
+		pause := d.renew(ctx, s, look)
+		if pause > 0 && d.clock.Sleep(ctx, pause) != nil {
+			return
+		}
+	}
+}
+
+// renewal is a renewal that is due.
+type renewal struct {
+	until worker.Clock
+	seen  worker.EndNumber
+	wait  time.Duration
+}
+
+// renewal returns the renewal that is due; none if nothing runs and all ends are acknowledged.
+func (d *Dispatcher) renewal(s *station) (renewal, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	r := renewal{seen: s.stored}
+	switch {
+	case !s.fenced || s.birth == 0:
+		if len(s.runs) > 0 && s.lease.Known() {
+			r.until = s.lease.Grant(d.clock.Now(), leaseTime)
+		}
+		return r, true
+	case len(s.runs) == 0:
+		return r, s.stored > s.acked
+	}
+	r.wait = renewWait
+	if s.silent.IsZero() {
+		r.until = s.lease.Grant(d.clock.Now(), min(leaseTime, d.bounds.MaxLease))
+	}
+	if s.stored > s.acked || s.impatient() {
+		r.wait = 0
+	}
+	return r, true
+}
+
+// impatient reports whether an order without an answer waits for a look.
+func (s *station) impatient() bool {
+	for _, r := range s.runs {
+		if r.phase == phaseDoubt || r.phase == phaseStopping {
+			return true
+		}
+	}
+	return false
+}
+
+// renew renews once and returns the pause before the next renewal.
+func (d *Dispatcher) renew(ctx context.Context, s *station, r renewal) time.Duration {
+	call, cancel := d.clock.WithTimeout(ctx, r.wait+renewSlack)
+	defer cancel()
+	sent := d.clock.Now()
+	look, err := s.caller.Renew(call, worker.Token(d.epoch), r.seen, r.until, r.wait)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ctx.Err() != nil {
+		return 0
+	}
+	now := d.clock.Now()
+	if err != nil {
+		return d.unheard(s, err, now)
+	}
+	s.lease.Observe(look.Clock, now)
+	s.acked = max(s.acked, r.seen)
+	if !s.silent.IsZero() {
+		d.log.Info(eventHeard, "worker", s.id, "silent", now.Sub(s.silent))
+	}
+	s.heard, s.silent = now, time.Time{}
+	ended := d.looked(s, look, sent, now)
+	if s.impatient() {
+		return 2 * renewGap
+	}
+	if ended || r.wait == 0 {
+		return renewGap
+	}
+	return 0
+}
+
+// unheard notes a renewal that failed.
+func (d *Dispatcher) unheard(s *station, err error, now time.Time) time.Duration {
+	refusal, refused := platform.Refusal(err)
+	if refused && refusal == worker.RefusedFence {
+		d.log.Warn(eventFenced, "worker", s.id, "epoch", d.epoch)
+	}
+	if s.silent.IsZero() {
+		s.silent = now
+		d.log.Info(eventUnheard, "worker", s.id, "error", err)
+	}
+	if refused && refusal == worker.RefusedReborn {
+		d.reborn(s, 0)
+	}
+	return failPause
+}
+
+// looked takes over what a worker has answered to a renewal that was sent at the given time. It reports
+// whether an end was new.
+func (d *Dispatcher) looked(s *station, look worker.Look, sent, now time.Time) bool {
+	if look.Birth != 0 && s.birth != look.Birth {
+		if s.birth != 0 {
+			d.reborn(s, look.Birth)
+		}
+		s.birth = look.Birth
+	}
+	first := !s.fenced
+	s.fenced = true
+	running := map[runID]worker.Run{}
+	for _, r := range look.Running {
+		running[runID{key: r.Key, run: r.Number}] = r
+	}
+	fresh := false
+	for _, end := range look.Ended {
+		if end.Number <= s.listedEnd {
+			continue
+		}
+		s.listedEnd = end.Number
+		fresh = true
+		if r := s.runs[runID{key: end.Key, run: end.Run}]; r != nil {
+			d.ended(r, end.Cause, end.Saved, now)
+			continue
+		}
+		d.strayEnd(s, end, first)
+	}
+	for id, seen := range running {
+		r := s.runs[id]
+		if r == nil {
+			d.stray(s, id)
+			continue
+		}
+		d.running(r, seen, now)
+	}
+	for id, r := range s.runs {
+		if _, ok := running[id]; !ok {
+			d.absent(r, sent, now)
+		}
+	}
+	if first {
+		d.log.Info(eventReached, "worker", s.id, "running", len(look.Running), "ended", len(look.Ended))
+	}
+	if fresh || first {
+		d.wake()
+	}
+	return fresh
+}
+
+// stray stops a run that the owner does not know.
+func (d *Dispatcher) stray(s *station, id runID) {
+	d.log.Info(eventStray, "worker", s.id, "task", id.key, "run", id.run)
+	s.order(func(ctx context.Context) {
+		if err := s.caller.Stop(ctx, id.key, id.run, worker.Token(d.epoch)); err != nil {
+			d.log.Debug(eventStop, "worker", s.id, "task", id.key, "run", id.run, "error", err)
+		}
+	})
+}
+
+// reborn notes that a worker has begun another life: nothing of the earlier one runs any more. Orders
+// without an answer may still arrive at the new life.
+func (d *Dispatcher) reborn(s *station, birth worker.Birth) {
+	d.log.Info(eventReborn, "worker", s.id, "birth", s.birth, "next", birth, "runs", len(s.runs))
+	s.birth = birth
+	s.fenced = false
+	s.lease = worker.Lease{}
+	s.listedEnd, s.storing, s.stored, s.acked = 0, 0, 0, 0
+	for _, r := range s.runs {
+		switch r.phase {
+		case phaseOrdered, phaseDoubt:
+			r.phase = phaseDoubt
+			r.voided = time.Time{}
+		case phaseStored:
+			// The order has not been sent; it will meet the new life.
+		default:
+			d.vanished(r, worker.CauseLapsed, d.clock.Now())
+		}
+	}
+}
+
+// lapse gives up the runs of a worker whose lease has certainly expired.
+func (d *Dispatcher) lapse(s *station, now time.Time) {
+	for _, r := range s.runs {
+		if r.phase != phaseStored {
+			d.vanished(r, worker.CauseLapsed, now)
+		}
+	}
+	s.fenced = false
+}
--- a/entry/bench_test.go
+++ b/entry/bench_test.go
@@ -13,8 +13,8 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/stretchr/testify/require"
 
-	"hibiscuslane.example/hibiscuslane/upstream"
 	standin "hibiscuslane.example/hibiscuslane/standin/platform"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // benchBody is the size in bytes of the requests.
--- a/entry/capacity.go
+++ b/entry/capacity.go
@@ -9,13 +9,13 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/request"
 	"hibiscuslane.example/hibiscuslane/route"
 	"hibiscuslane.example/hibiscuslane/slot"
 	"hibiscuslane.example/hibiscuslane/target"
 	"hibiscuslane.example/hibiscuslane/team"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // capacity tells the slot allocator what it may grant. It implements slot.Capacity.
--- a/entry/cluster_test.go
+++ b/entry/cluster_test.go
@@ -18,12 +18,12 @@
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/settings"
 	"hibiscuslane.example/hibiscuslane/site"
 	standin "hibiscuslane.example/hibiscuslane/standin/platform"
 	"hibiscuslane.example/hibiscuslane/standin/target"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // patience bounds waits for an effect. No verdict depends on how much of it is used.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,7 +23,6 @@
 	"hibiscuslane.example/hibiscuslane/member"
 	"hibiscuslane.example/hibiscuslane/metric"
 	"hibiscuslane.example/hibiscuslane/peer"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/request"
 	"hibiscuslane.example/hibiscuslane/retry"
@@ -35,6 +34,7 @@
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/target"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 const (
--- a/entry/jobs.go
+++ b/entry/jobs.go
@@ -3,9 +3,9 @@
 import (
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/job"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/team"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // teams returns the teams in force at the site of this entry.
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"hibiscuslane.example/hibiscuslane/upstream"
 	standin "hibiscuslane.example/hibiscuslane/standin/platform"
 	"hibiscuslane.example/hibiscuslane/standin/target"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // leavingBound is the time after which a leaving target receives no new work.
--- a/entry/process_test.go
+++ b/entry/process_test.go
@@ -24,13 +24,13 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/settings"
 	"hibiscuslane.example/hibiscuslane/site"
 	standin "hibiscuslane.example/hibiscuslane/standin/platform"
 	"hibiscuslane.example/hibiscuslane/standin/target"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 const (
--- a/entry/streams.go
+++ b/entry/streams.go
@@ -9,11 +9,11 @@
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/member"
 	"hibiscuslane.example/hibiscuslane/peer"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/snapshot"
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // loadRetry is the pause between attempts to load a state while neither the log nor a peer has one.
--- a/job/bench_test.go
+++ b/job/bench_test.go
@@ -11,10 +11,10 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/team"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Figures of the target size.
--- a/job/fixture_test.go
+++ b/job/fixture_test.go
@@ -17,7 +17,6 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/site"
@@ -26,6 +25,7 @@
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/team"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 var start = time.Unix(1_700_000_000, 0).UTC()
--- a/job/history.go
+++ b/job/history.go
@@ -5,8 +5,8 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // historyLimit bounds the audit history. Jobs are frequent, so it covers minutes to hours; the log
--- a/job/input.go
+++ b/job/input.go
@@ -5,9 +5,9 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/team"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Input is what Plan decides from, for one pool.
--- a/job/job.go
+++ b/job/job.go
@@ -3,10 +3,10 @@
 import (
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/team"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // ID names a job. It is also the id of its task on workers.
--- a/job/plan_test.go
+++ b/job/plan_test.go
@@ -11,9 +11,9 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/site"
 	"hibiscuslane.example/hibiscuslane/team"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 func input(workers int) Input {
--- a/job/record.go
+++ b/job/record.go
@@ -6,8 +6,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Record kinds of the job stream.
--- a/job/runner.go
+++ b/job/runner.go
@@ -12,12 +12,12 @@
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/team"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 const (
--- a/job/runner_test.go
+++ b/job/runner_test.go
@@ -11,9 +11,9 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/standin/appendlog"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // lost is an answer that is lost after the effect of the call.
--- a/job/state.go
+++ b/job/state.go
@@ -8,11 +8,11 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/team"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 const (
--- a/job/state_test.go
+++ b/job/state_test.go
@@ -10,9 +10,9 @@
 	"pgregory.net/rapid"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // fixture folds bodies at increasing offsets, a second apart.
--- /dev/null
+++ b/ledger/ledger.go
@@ -0,0 +1,224 @@
+// Package ledger keeps jobs in the platform's store. One process at a time writes: its epoch fences the
+// appends of earlier writers, and its sequence numbers make repeated appends harmless.
+package ledger
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/event"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+const (
+	// TopicJobs holds all jobs. Its records are keyed, so the newest of each key lasts.
+	TopicJobs platform.Topic = "keyed.job"
+	// Part is the partition of the only writer.
+	Part = 0
+
+	producer = "owner"
+	// appendTimeout bounds one call. The store answers in 4 ms, and in about 0.4 s when it is slow.
+	appendTimeout = 1200 * time.Millisecond
+	// retryDelay is the pause before a failed append is repeated.
+	retryDelay = 100 * time.Millisecond
+	// maxBytes bounds the records of one append; the store takes 2 MB.
+	maxBytes = 1 << 20
+)
+
+// Store is the part of the platform's store that the ledger uses.
+type Store interface {
+	Append(ctx context.Context, topic platform.Topic, part int, producer platform.Producer, records []platform.Record) error
+	Newest(ctx context.Context, topic platform.Topic, part int) ([]platform.Record, platform.Offset, error)
+}
+
+// Done receives the outcome of a write: nil once it is stored. After an error the write may still be
+// stored, unless the error says that it was refused.
+type Done func(error)
+
+// write is a set of records that is stored whole.
+type write struct {
+	records []platform.Record
+	done    Done
+}
+
+// Ledger writes records in the order in which they are given. Open returns one that may write.
+type Ledger struct {
+	store Store
+	topic platform.Topic
+	clock *timer.Service
+	log   event.Log
+	epoch platform.Generation
+
+	mu      sync.Mutex
+	pending []write
+	err     error // set once no more can be written
+	wake    chan struct{}
+	next    platform.Sequence
+	// Stalled is when the oldest append that has no answer was first sent; zero if there is none.
+	stalled time.Time
+}
+
+// Open fences earlier writers and returns the ledger with all stored records.
+func Open(ctx context.Context, store Store, topic platform.Topic, epoch platform.Generation, clock *timer.Service, log event.Log) (*Ledger, []platform.Record, error) {
+	l := &Ledger{store: store, topic: topic, clock: clock, log: log, epoch: epoch, wake: make(chan struct{}, 1)}
+	if err := l.send(ctx, nil); err != nil {
+		return nil, nil, err
+	}
+	call, cancel := clock.WithTimeout(ctx, 2*appendTimeout)
+	defer cancel()
+	records, _, err := store.Newest(call, topic, Part)
+	if err != nil {
+		return nil, nil, err
+	}
+	return l, records, nil
+}
+
+// send appends once, with the next sequence number.
+func (l *Ledger) send(ctx context.Context, records []platform.Record) error {
+	call, cancel := l.clock.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	p := platform.Producer{Name: producer, Epoch: l.epoch, Sequence: l.next}
+	return l.store.Append(call, l.topic, Part, p, records)
+}
+
+// Write stores records, all or none, and calls done from another goroutine.
+func (l *Ledger) Write(records []platform.Record, done Done) {
+	l.mu.Lock()
+	err := l.err
+	if err == nil {
+		l.pending = append(l.pending, write{records: records, done: done})
+	}
+	l.mu.Unlock()
+	if err != nil {
+		go done(err)
+		return
+	}
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Stalled returns how long the oldest append has been without an answer.
+func (l *Ledger) Stalled() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stalled.IsZero() {
+		return 0
+	}
+	return l.clock.Since(l.stalled)
+}
+
+// flushPoll is the time between looks at the writes that are left.
+const flushPoll = 5 * time.Millisecond
+
+// Flush waits until all writes have an outcome, or ctx ends.
+func (l *Ledger) Flush(ctx context.Context) {
+	for l.left() && l.clock.Sleep(ctx, flushPoll) == nil {
+	}
+}
+
+func (l *Ledger) left() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.pending) > 0 || !l.stalled.IsZero()
+}
+
+// Run appends until ctx ends or a later writer has taken over. It then fails all writes that are left and
+// returns the error.
+func (l *Ledger) Run(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return l.close(nil, ctx.Err())
+		case <-l.wake:
+		}
+		for {
+			batch := l.take()
+			if len(batch) == 0 {
+				break
+			}
+			if err := l.append(ctx, batch); err != nil {
+				return l.close(batch, err)
+			}
+		}
+	}
+}
+
+// take returns the writes of the next append.
+func (l *Ledger) take() []write {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	size, n := 0, 0
+	for n < len(l.pending) && (n == 0 || size < maxBytes) {
+		for _, r := range l.pending[n].records {
+			size += len(r.Key) + len(r.Value)
+		}
+		n++
+	}
+	batch := l.pending[:n:n]
+	l.pending = l.pending[n:]
+	if n > 0 {
+		l.stalled = l.clock.Now()
+	}
+	return batch
+}
+
+// append stores a batch. It repeats the append until the store has answered it.
+func (l *Ledger) append(ctx context.Context, batch []write) error {
+	var records []platform.Record
+	for _, w := range batch {
+		records = append(records, w.records...)
+	}
+	l.next++
+	for try := 1; ; try++ {
+		err := l.send(ctx, records)
+		if err == nil {
+			break
+		}
+		if expected, ok := platform.Expected(err); ok {
+			if expected > l.next {
+				break // an earlier try was stored
+			}
+			l.next = expected
+			continue
+		}
+		if platform.IsFenced(err) || ctx.Err() != nil {
+			return err
+		}
+		l.log.Warn(eventRepeat, "try", try, "records", len(records), "error", err)
+		if err := l.clock.Sleep(ctx, retryDelay); err != nil {
+			return err
+		}
+	}
+	l.mu.Lock()
+	l.stalled = time.Time{}
+	l.mu.Unlock()
+	for _, w := range batch {
+		if w.done != nil {
+			w.done(nil)
+		}
+	}
+	return nil
+}
+
+func (l *Ledger) close(batch []write, err error) error {
+	l.mu.Lock()
+	rest := append(batch, l.pending...)
+	l.pending = nil
+	l.err = err
+	l.mu.Unlock()
+	for i, w := range rest {
+		if w.done == nil {
+			continue
+		}
+		if i < len(batch) {
+			w.done(&UncertainError{Cause: err})
+			continue
+		}
+		w.done(&ClosedError{Cause: err})
+	}
+	return err
+}
--- a/member/member.go
+++ b/member/member.go
@@ -14,8 +14,8 @@
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/peer"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 const (
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -11,8 +11,8 @@
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/member"
 	"hibiscuslane.example/hibiscuslane/peer"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 func entries(ids ...instance.ID) []upstream.Listing {
--- a/planner/choose.go
+++ b/planner/choose.go
@@ -7,9 +7,9 @@
 	"slices"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/site"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 func siteOf(listing upstream.Listing) site.Name { return site.Name(listing.Centre) }
--- a/planner/experiment_test.go
+++ b/planner/experiment_test.go
@@ -18,10 +18,10 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/site"
 	"hibiscuslane.example/hibiscuslane/stream"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 const (
--- a/planner/input.go
+++ b/planner/input.go
@@ -9,9 +9,9 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/site"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Input is everything that a plan depends on.
--- a/planner/observe.go
+++ b/planner/observe.go
@@ -6,8 +6,8 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // smoothing is the time constant of the mean demand. A burst of a few seconds at five times the mean
--- a/planner/plan.go
+++ b/planner/plan.go
@@ -6,8 +6,8 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Plan returns the records that should be appended now, in a deterministic order: equal inputs give
--- a/planner/runner_test.go
+++ b/planner/runner_test.go
@@ -12,12 +12,12 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/site"
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // surroundings stands for everything that a runner talks to.
--- a/planner/world_test.go
+++ b/planner/world_test.go
@@ -13,11 +13,11 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/site"
 	"hibiscuslane.example/hibiscuslane/stream"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 const rebootTime = 2 * time.Minute
--- /dev/null
+++ b/process/error.go
@@ -0,0 +1,41 @@
+package process
+
+import (
+	"errors"
+	"net/http"
+
+	"hibiscuslane.example/hibiscuslane/event"
+	"hibiscuslane.example/hibiscuslane/failure"
+	"hibiscuslane.example/hibiscuslane/instance"
+)
+
+var (
+	eventStart   = event.Define(1050, "process.started", "the process listens")
+	eventStop    = event.Define(1051, "process.stopping", "graceful shutdown started")
+	eventCut     = event.Define(1052, "process.cut", "graceful shutdown reached its bound; requests were cut off")
+	eventStopped = event.Define(1053, "process.stopped", "the process has stopped")
+	eventGained  = event.Define(1054, "tenure.gained", "the store made this process the owner")
+	eventLost    = event.Define(1055, "tenure.lost", "this process is no longer the owner")
+	eventEnded   = event.Define(1056, "tenure.ended", "the work of a tenure has ended")
+)
+
+// ListenError reports an address that cannot be served.
+type ListenError struct {
+	Address instance.Address
+	Cause   error
+}
+
+func (e *ListenError) Error() string {
+	return "cannot serve " + string(e.Address) + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Cause }
+
+// Code implements failure.Coded.
+func (e *ListenError) Code() failure.Code { return failure.CodeInternal }
+
+// Outcome implements failure.Coded.
+func (e *ListenError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+func isClosed(err error) bool { return errors.Is(err, http.ErrServerClosed) }
--- /dev/null
+++ b/process/peers.go
@@ -0,0 +1,215 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/dispatch"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/queue"
+	"hibiscuslane.example/hibiscuslane/relay"
+	"hibiscuslane.example/hibiscuslane/task"
+	"hibiscuslane.example/hibiscuslane/tenure"
+)
+
+const (
+	// beatPeriod is the time between signs of life to the owner.
+	beatPeriod = 350 * time.Millisecond
+	// beatTimeout bounds the answer to one. Peers are a few milliseconds away; a slow one takes some ten.
+	beatTimeout = 500 * time.Millisecond
+	// ownerSilence is how long the owner may be silent before its peers replace it.
+	ownerSilence = 1200 * time.Millisecond
+	// storeSilence is how long the store may be silent before an owner gives way to a peer that reaches it.
+	storeSilence = 1300 * time.Millisecond
+	// storeFresh is how recently a peer must have reached the store to take over.
+	storeFresh = 700 * time.Millisecond
+	// witnesses is the number of other members that are asked before the owner is replaced.
+	witnesses = 3
+	// ownerRetry is the time after which a caller may try again while there is no owner.
+	ownerRetry = time.Second
+)
+
+// server answers peers.
+type server struct{ process *Process }
+
+// Call implements relay.Relay.
+func (s *server) Call(ctx context.Context, request *relay.Request) (*relay.Reply, error) {
+	d := s.process.dispatcher()
+	if d == nil {
+		return &relay.Reply{Verdict: relay.Verdict_ELSEWHERE, Owner: string(s.process.keeper.Owner())}, nil
+	}
+	bound, cancel := s.process.clock.WithTimeout(ctx, time.Duration(request.Patience)*time.Millisecond)
+	defer cancel()
+	return handle(bound, d, request), nil
+}
+
+// handle carries a caller's request out at the owner.
+func handle(ctx context.Context, d *dispatch.Dispatcher, request *relay.Request) *relay.Reply {
+	id := task.JobID(request.Job)
+	switch request.Verb {
+	case relay.Verb_SUBMIT:
+		spec, err := platform.ParseJob(request.Body)
+		if err != nil {
+			return &relay.Reply{Verdict: relay.Verdict_INVALID, Reason: err.Error()}
+		}
+		return d.Submit(ctx, queue.Name(request.Queue), id, spec)
+	case relay.Verb_CANCEL:
+		return d.Cancel(ctx, id)
+	case relay.Verb_STATE:
+		return d.State(id)
+	}
+	return d.Waiting(queue.Name(request.Queue))
+}
+
+// Beat implements relay.Relay.
+func (s *server) Beat(_ context.Context, sign *relay.Sign) (*relay.Notice, error) {
+	p := s.process
+	notice := &relay.Notice{Self: string(p.keeper.Member), Owner: string(p.keeper.Owner()), Silence: -1}
+	p.mu.Lock()
+	if !p.answered.IsZero() {
+		notice.Silence = p.clock.Since(p.answered).Milliseconds()
+	}
+	p.mu.Unlock()
+	if document, offset := p.follower.Document(); int64(offset) > sign.Config {
+		notice.Document, notice.Config = document, int64(offset)
+	}
+	d := p.dispatcher()
+	if d == nil {
+		return notice, nil
+	}
+	notice.Silence = 0
+	if sign.Store && max(p.keeper.Reaches(), d.Stalled()) > storeSilence {
+		p.keeper.Resign("a peer reaches the store, this process does not")
+		notice.Release = true
+	}
+	return notice, nil
+}
+
+// Forward implements ingress.Forwarder.
+func (p *Process) Forward(ctx context.Context, request *relay.Request) *relay.Reply {
+	if d := p.dispatcher(); d != nil {
+		return handle(ctx, d, request)
+	}
+	owner := p.keeper.Owner()
+	for range 2 {
+		if owner == "" || owner == p.keeper.Member {
+			break
+		}
+		reply := p.pass(ctx, owner, request)
+		if reply.Verdict != relay.Verdict_ELSEWHERE {
+			return reply
+		}
+		p.keeper.Forget(owner)
+		if reply.Owner == string(owner) {
+			break
+		}
+		owner = tenure.Member(reply.Owner)
+		p.keeper.Learn(owner)
+	}
+	return &relay.Reply{Verdict: relay.Verdict_REFUSED, Reason: "no owner is known", Again: ownerRetry.Milliseconds()}
+}
+
+// pass sends a request to the owner.
+func (p *Process) pass(ctx context.Context, owner tenure.Member, request *relay.Request) *relay.Reply {
+	reply, err := p.peer(owner).Call(ctx, request)
+	if err == nil {
+		return reply
+	}
+	if unsent(err) {
+		return &relay.Reply{Verdict: relay.Verdict_REFUSED, Reason: "the owner cannot be reached: " + err.Error(), Again: ownerRetry.Milliseconds()}
+	}
+	return &relay.Reply{Verdict: relay.Verdict_UNKNOWN, Reason: "no answer from the owner: " + err.Error()}
+}
+
+func (p *Process) peer(m tenure.Member) relay.Relay {
+	return relay.NewRelayProtobufClient("http://"+string(m.Address()), p.peers)
+}
+
+// unsent reports whether a call failed before anything was sent.
+func unsent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// beats tells the owner that this process lives, and replaces an owner that does not.
+func (p *Process) beats(ctx context.Context) {
+	var silent time.Time // when the owner fell silent
+	var last tenure.Member
+	for p.clock.Sleep(ctx, beatPeriod) == nil {
+		owner := p.keeper.Owner()
+		if owner != last {
+			silent, last = time.Time{}, owner
+		}
+		if owner == "" || owner == p.keeper.Member || p.stopping.Load() {
+			continue
+		}
+		notice, err := p.beat(ctx, owner)
+		if err == nil && notice.Self == string(owner) && notice.Owner == string(owner) {
+			silent = time.Time{}
+			p.heard(notice)
+			continue
+		}
+		if silent.IsZero() {
+			silent = p.clock.Now()
+		}
+		p.missed(ctx, owner, notice, err, p.clock.Since(silent))
+	}
+}
+
+func (p *Process) beat(ctx context.Context, to tenure.Member) (*relay.Notice, error) {
+	call, cancel := p.clock.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	_, offset := p.follower.Document()
+	return p.peer(to).Beat(call, &relay.Sign{Member: string(p.keeper.Member), Config: int64(offset), Store: p.keeper.Reaches() < storeFresh})
+}
+
+// heard notes that the owner lives.
+func (p *Process) heard(notice *relay.Notice) {
+	p.mu.Lock()
+	p.answered = p.clock.Now()
+	p.mu.Unlock()
+	if len(notice.Document) > 0 && p.follower.Adopt(notice.Document, platform.Offset(notice.Config)) {
+		p.changed()
+	}
+}
+
+// missed decides what to do about an owner that gave no answer, or an answer that shows that it is not
+// the owner.
+func (p *Process) missed(ctx context.Context, owner tenure.Member, notice *relay.Notice, err error, silence time.Duration) {
+	switch {
+	case err == nil && notice.Self != string(owner):
+		// Another life answers at the address: the owner's process has ended.
+		p.keeper.Remove(ctx, owner, "its process has ended")
+	case err == nil && notice.Release:
+		p.keeper.Remove(ctx, owner, "it does not reach the store")
+	case err == nil:
+		p.keeper.Forget(owner)
+		p.keeper.Learn(tenure.Member(notice.Owner))
+	case errors.Is(err, syscall.ECONNREFUSED) || silence > ownerSilence:
+		if p.confirmed(ctx, owner) {
+			p.keeper.Remove(ctx, owner, "it does not answer: "+err.Error())
+		}
+	}
+}
+
+// confirmed reports whether no other member hears the owner either.
+func (p *Process) confirmed(ctx context.Context, owner tenure.Member) bool {
+	asked := 0
+	for _, m := range p.keeper.Members(ctx) {
+		if m == owner || m == p.keeper.Member {
+			continue
+		}
+		notice, err := p.beat(ctx, m)
+		if err == nil && notice.Owner == string(owner) && notice.Silence >= 0 && notice.Silence < beatPeriod.Milliseconds()+beatTimeout.Milliseconds() {
+			return false
+		}
+		asked++
+		if asked == witnesses {
+			break
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/process/process.go
@@ -0,0 +1,246 @@
+// Package process wires one entry on the users' platform: callers, peers, the owner's work while this
+// process is the owner, and the graceful shutdown.
+package process
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/dispatch"
+	"hibiscuslane.example/hibiscuslane/event"
+	"hibiscuslane.example/hibiscuslane/ingress"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/operator"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/relay"
+	"hibiscuslane.example/hibiscuslane/settings"
+	"hibiscuslane.example/hibiscuslane/tenure"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+const (
+	// drainTime bounds the writes that a stopping owner still waits for.
+	drainTime = 600 * time.Millisecond
+	// closeAfter is how long a stopping entry still takes new connections: the balancer looks once a second
+	// and needs two misses.
+	closeAfter = 2500 * time.Millisecond
+	// closeReserve is kept of the grace period for the end of the process.
+	closeReserve = 700 * time.Millisecond
+	// headerTimeout and idleTimeout bound callers' connections until a configuration names bounds.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 60 * time.Second
+	// peerIdle is the number of idle connections to one peer, platformIdle to one service of the platform.
+	peerIdle     = 4
+	platformIdle = 4
+	workerIdle   = 1
+)
+
+// Process is one entry.
+type Process struct {
+	settings settings.Deployment
+	clock    *timer.Service
+	log      event.Log
+	store    *platform.Store
+	fleet    *platform.Fleet
+	clients  dispatch.Clients
+	peers    *http.Client
+	keeper   *tenure.Keeper
+	follower *operator.Follower
+	handler  *ingress.Handler
+
+	stopping atomic.Bool
+	mu       sync.Mutex
+	owner    *dispatch.Dispatcher // nil while this process is not the owner
+	end      context.CancelFunc   // ends the tenure of owner
+	// answered is when the owner last answered a sign of life.
+	answered time.Time
+	members  []tenure.Member
+}
+
+// New returns an entry.
+func New(s settings.Deployment, clock *timer.Service, log event.Log) *Process {
+	log = log.With("entry", s.ID)
+	client := platform.NewHTTP(platformIdle)
+	p := &Process{
+		settings: s, clock: clock, log: log,
+		store:   &platform.Store{Address: s.Store, HTTP: client},
+		fleet:   &platform.Fleet{Address: s.Fleet, HTTP: client, Holder: string(s.ID)},
+		clients: dispatch.Clients{Waiting: platform.NewHTTP(workerIdle), Orders: platform.NewHTTP(workerIdle)},
+		peers:   platform.NewHTTP(peerIdle),
+	}
+	p.follower = &operator.Follower{Store: p.store, Clock: clock, Log: log, Changed: p.changed}
+	p.keeper = &tenure.Keeper{Store: p.store, Member: tenure.NewMember(s.Peers, clock.Now()), Clock: clock, Log: log, Changed: p.tenure}
+	p.handler = &ingress.Handler{Config: p.follower.Config, Forward: p, Clock: clock, Log: log}
+	return p
+}
+
+// Run serves until ctx ends, and then stops gracefully.
+func (p *Process) Run(ctx context.Context) error {
+	p.log.Info(eventStart, "member", p.keeper.Member, "centre", p.settings.Centre, "store", p.settings.Store)
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	front := &http.Server{Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	inner := &http.Server{Handler: p.internal(), ReadHeaderTimeout: headerTimeout}
+	ready := &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: headerTimeout}
+	failed := make(chan error, 1)
+	for _, s := range []struct {
+		server  *http.Server
+		address instance.Address
+	}{{inner, p.settings.Peers}, {ready, p.settings.Ready}, {front, p.settings.Callers}} {
+		if err := p.serve(ctx, s.server, s.address, failed); err != nil {
+			return err
+		}
+	}
+	membership, leave := context.WithCancel(work)
+	var left sync.WaitGroup
+	left.Go(func() { p.keeper.Run(membership) })
+	go p.follower.Run(work)
+	go p.beats(work)
+	select {
+	case err := <-failed:
+		leave()
+		return err
+	case <-ctx.Done():
+	}
+	p.stop(front, leave, &left)
+	return nil
+}
+
+// serve listens on an address and serves in the background.
+func (p *Process) serve(ctx context.Context, server *http.Server, address instance.Address, failed chan<- error) error {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", string(address))
+	if err != nil {
+		return &ListenError{Address: address, Cause: err}
+	}
+	go func() {
+		if err := server.Serve(listener); err != nil && !isClosed(err) {
+			select {
+			case failed <- &ListenError{Address: address, Cause: err}:
+			default:
+			}
+		}
+	}()
+	return nil
+}
+
+// stop ends the tenure first, so that another entry takes over, and answers callers until the balancer
+// has noticed.
+func (p *Process) stop(front *http.Server, leave context.CancelFunc, left *sync.WaitGroup) {
+	begin := p.clock.Now()
+	p.log.Info(eventStop, "grace", p.settings.Contract.Grace)
+	p.stopping.Store(true)
+	p.handler.Closing.Store(true)
+	leave()
+	left.Wait()
+	background := context.Background()
+	_ = p.clock.Sleep(background, closeAfter-p.clock.Since(begin)) // the background context never ends
+	bound, cancel := p.clock.WithTimeout(background, p.settings.Contract.Grace-closeReserve-p.clock.Since(begin))
+	defer cancel()
+	if err := front.Shutdown(bound); err != nil {
+		p.log.Warn(eventCut, "error", err)
+	}
+	p.log.Info(eventStopped, "took", p.clock.Since(begin))
+}
+
+// tenure begins or ends the owner's work.
+func (p *Process) tenure(c tenure.Change) {
+	switch c := c.(type) {
+	case tenure.Gained:
+		p.begin(c.Epoch)
+	case tenure.Lost:
+		p.finish(c.Reason)
+	}
+}
+
+func (p *Process) begin(epoch platform.Generation) {
+	p.log.Info(eventGained, "epoch", epoch)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := p.settings.Contract
+	d := dispatch.New(ctx, epoch, dispatch.Options{
+		Store: p.store, Fleet: p.fleet, Clients: p.clients, Clock: p.clock, Log: p.log.With("epoch", epoch), Config: p.follower.Config(),
+		Bounds: dispatch.Bounds{
+			MaxLease: c.MaxLease, Heartbeat: p.settings.Heartbeat, Status: c.Status, Stop: c.Stop, Turn: c.Turn,
+			Move: c.Move, Maintenance: c.Maintenance, Notice: c.Notice,
+		},
+	})
+	p.mu.Lock()
+	p.owner, p.end = d, cancel
+	p.mu.Unlock()
+	p.changed()
+	go func() {
+		err := d.Run()
+		p.log.Info(eventEnded, "epoch", epoch, "error", err)
+		if ctx.Err() == nil {
+			p.keeper.Resign("fenced")
+		}
+	}()
+}
+
+func (p *Process) finish(reason string) {
+	p.mu.Lock()
+	d, end := p.owner, p.end
+	p.owner, p.end = nil, nil
+	p.mu.Unlock()
+	p.log.Info(eventLost, "reason", reason)
+	if d == nil {
+		return
+	}
+	if p.stopping.Load() {
+		bound, cancel := p.clock.WithTimeout(context.Background(), drainTime)
+		d.Drain(bound)
+		cancel()
+	}
+	end()
+}
+
+// changed passes news of the operator on to the owner's work.
+func (p *Process) changed() {
+	d := p.dispatcher()
+	if d == nil {
+		return
+	}
+	if config := p.follower.Config(); config != nil {
+		d.SetConfig(config)
+	}
+	for _, w := range p.follower.Waves() {
+		d.SetWave(w.Request, w.Read)
+	}
+}
+
+// dispatcher returns the owner's work; nil while this process is not the owner.
+func (p *Process) dispatcher() *dispatch.Dispatcher {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.owner
+}
+
+// ready answers the balancer.
+func (p *Process) ready(w http.ResponseWriter, _ *http.Request) {
+	if !p.serves() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// serves reports whether callers are served here: the configuration is known and the owner answers.
+func (p *Process) serves() bool {
+	if p.stopping.Load() || p.follower.Config() == nil {
+		return false
+	}
+	if d := p.dispatcher(); d != nil {
+		return d.Loaded()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.answered.IsZero() && p.clock.Since(p.answered) < ownerSilence
+}
+
+func (p *Process) internal() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(relay.RelayPathPrefix, relay.NewRelayServer(&server{process: p}))
+	return mux
+}
--- a/request/atmostonce_test.go
+++ b/request/atmostonce_test.go
@@ -14,11 +14,11 @@
 
 	"hibiscuslane.example/hibiscuslane/claim"
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/request"
 	"hibiscuslane.example/hibiscuslane/slot"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 const (
--- a/request/chain_test.go
+++ b/request/chain_test.go
@@ -17,9 +17,9 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/request"
 	"hibiscuslane.example/hibiscuslane/slot"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 func call(method, path, body string, header ...string) *http.Request {
--- a/request/fixture_test.go
+++ b/request/fixture_test.go
@@ -15,7 +15,6 @@
 	"hibiscuslane.example/hibiscuslane/config"
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/request"
@@ -24,6 +23,7 @@
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/team"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // memoryLog is a log in memory that can be down or lose the answer to an append after its effect.
--- a/request/property_test.go
+++ b/request/property_test.go
@@ -18,10 +18,10 @@
 
 	"hibiscuslane.example/hibiscuslane/claim"
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/request"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // span is a time span from the start of a history, in milliseconds.
--- a/request/queue.go
+++ b/request/queue.go
@@ -6,8 +6,8 @@
 	"github.com/go-kit/kit/endpoint"
 
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/slot"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // queued waits for a slot and releases it once the try has ended, or once a streamed response has.
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -9,9 +9,9 @@
 	"pgregory.net/rapid"
 
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/retry"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 var (
--- a/route/route.go
+++ b/route/route.go
@@ -3,8 +3,8 @@
 
 import (
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Target is what is needed to send a request to an instance.
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -11,10 +11,10 @@
 
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/route"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 const name pool.Name = "a"
--- a/route/table.go
+++ b/route/table.go
@@ -9,9 +9,9 @@
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Limits of ejection. Zero fields mean the default.
--- a/scenario/job_test.go
+++ b/scenario/job_test.go
@@ -10,8 +10,8 @@
 
 	"golang.org/x/sync/errgroup"
 
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/worker"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // jobCallers bounds concurrent submits and cancellations.
--- a/snapshot/bench_test.go
+++ b/snapshot/bench_test.go
@@ -14,7 +14,6 @@
 	"hibiscuslane.example/hibiscuslane/fleet"
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/job"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/site"
@@ -22,6 +21,7 @@
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/team"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/snapshot/keeper.go
+++ b/snapshot/keeper.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/event"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 const (
--- a/snapshot/loader.go
+++ b/snapshot/loader.go
@@ -8,10 +8,10 @@
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/peer"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // peerTimeout bounds the wait for the snapshots of peers. All reachable peers answer within it, so
--- a/standin/appendlog/http.go
+++ b/standin/appendlog/http.go
@@ -6,9 +6,9 @@
 	"strconv"
 	"time"
 
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 type appendBody struct {
--- a/standin/appendlog/log.go
+++ b/standin/appendlog/log.go
@@ -11,10 +11,10 @@
 
 	"golang.org/x/time/rate"
 
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Limits of one read.
--- a/standin/appendlog/log_test.go
+++ b/standin/appendlog/log_test.go
@@ -12,10 +12,10 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/standin/appendlog"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 var ctx = context.Background()
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -19,11 +19,11 @@
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/examples"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/settings"
 	"hibiscuslane.example/hibiscuslane/site"
 	"hibiscuslane.example/hibiscuslane/standin/emulator"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 const (
--- a/standin/directory/directory.go
+++ b/standin/directory/directory.go
@@ -11,9 +11,9 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Machine is a target or worker that the platform controls.
--- a/standin/emulator/emulator.go
+++ b/standin/emulator/emulator.go
@@ -7,12 +7,12 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/appendlog"
 	emulated "hibiscuslane.example/hibiscuslane/standin/platform"
 	"hibiscuslane.example/hibiscuslane/standin/target"
 	"hibiscuslane.example/hibiscuslane/standin/worker"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Emulator is a running fleet.
--- a/standin/emulator/emulator_test.go
+++ b/standin/emulator/emulator_test.go
@@ -12,9 +12,9 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/emulator"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 var ctx = context.Background()
--- a/standin/emulator/fault.go
+++ b/standin/emulator/fault.go
@@ -8,12 +8,12 @@
 
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/site"
 	"hibiscuslane.example/hibiscuslane/standin/appendlog"
 	"hibiscuslane.example/hibiscuslane/standin/directory"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
 	"hibiscuslane.example/hibiscuslane/standin/socket"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Change switches faults. Absent parts and absent switches stay as they are.
--- a/standin/emulator/file.go
+++ b/standin/emulator/file.go
@@ -7,9 +7,9 @@
 	"os"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/site"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Fleet describes a fleet. All times are in milliseconds.
--- a/standin/machine/machine.go
+++ b/standin/machine/machine.go
@@ -9,10 +9,10 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
 	"hibiscuslane.example/hibiscuslane/standin/socket"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Options describe a machine.
--- a/standin/target/target.go
+++ b/standin/target/target.go
@@ -9,11 +9,11 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/machine"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
 	"hibiscuslane.example/hibiscuslane/standin/socket"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Defaults of a target.
--- a/standin/target/target_test.go
+++ b/standin/target/target_test.go
@@ -13,11 +13,11 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/machine"
 	"hibiscuslane.example/hibiscuslane/standin/socket"
 	"hibiscuslane.example/hibiscuslane/standin/target"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // patience bounds waits for events that have to come; no test waits this long to pass.
--- a/standin/worker/run.go
+++ b/standin/worker/run.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/machine"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Reasons in the status of tasks that the worker ends.
--- a/standin/worker/task.go
+++ b/standin/worker/task.go
@@ -4,9 +4,9 @@
 	"slices"
 	"time"
 
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/machine"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // start starts a task under its lease.
--- a/standin/worker/worker.go
+++ b/standin/worker/worker.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/machine"
 	"hibiscuslane.example/hibiscuslane/standin/reply"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Capacity of a worker whose listing names none.
--- a/standin/worker/worker_test.go
+++ b/standin/worker/worker_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/standin/worker"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // patience bounds waits for events that have to come; no test waits this long to pass.
--- a/stream/appender.go
+++ b/stream/appender.go
@@ -9,9 +9,9 @@
 
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 const (
--- a/stream/follower.go
+++ b/stream/follower.go
@@ -8,9 +8,9 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/event"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 const (
--- a/stream/stream_test.go
+++ b/stream/stream_test.go
@@ -12,9 +12,9 @@
 
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/failure"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/stream"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 var errLost = errors.New("answer lost")
--- a/target/health.go
+++ b/target/health.go
@@ -5,8 +5,8 @@
 	"errors"
 
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/route"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Health returns what the result of Send says about the health of the target. Only failures on new
--- a/target/resend_test.go
+++ b/target/resend_test.go
@@ -14,8 +14,8 @@
 
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/target"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // dropper executes every request, and closes the connection without a response to the first request
--- a/target/transport.go
+++ b/target/transport.go
@@ -14,8 +14,8 @@
 
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // Transport sends requests to targets. The zero value is usable; set the exported fields before the
--- a/target/transport_test.go
+++ b/target/transport_test.go
@@ -16,9 +16,9 @@
 
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/upstream"
 	"hibiscuslane.example/hibiscuslane/route"
 	"hibiscuslane.example/hibiscuslane/target"
+	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
 // TestOutcomes guards against an outcome without proof and against the wrong response.
