tenure: an epoch is used for one tenure only; process: release is read before the owner's name

Cause: an owner that gave way to a peer was still listed as the holder in the same generation, and began a second tenure with the epoch of the first: run numbers repeated, the token was not higher. The answer that asked for the release named the owner itself, so the peer took it for a sign of life.

--- a/process/peers.go
+++ b/process/peers.go
@@ -147,7 +147,7 @@
 			continue
 		}
 		notice, err := p.beat(ctx, owner)
-		if err == nil && notice.Self == string(owner) && notice.Owner == string(owner) {
+		if err == nil && !notice.Release && notice.Self == string(owner) && notice.Owner == string(owner) {
 			silent = time.Time{}
 			p.heard(notice)
 			continue
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -81,6 +81,8 @@
 	generation platform.Generation
 	// epoch is the generation with which the ownership was gained; zero while not owner.
 	epoch platform.Generation
+	// last is the epoch of the last tenure of this process. A later one needs a higher epoch.
+	last platform.Generation
 	// alive is when the last sign of life that the store confirmed was sent.
 	alive time.Time
 	owner Member
@@ -155,8 +157,11 @@
 	k.generation = share.Generation
 	held := k.epoch != 0
 	holds := slices.Contains(share.Parts, ledger.Part)
+	spent := share.Generation <= k.last
 	k.mu.Unlock()
 	switch {
+	case holds && !held && spent:
+		k.renew(ctx)
 	case holds && !held:
 		k.step(Gained{Epoch: share.Generation})
 	case !holds && held:
@@ -164,6 +169,19 @@
 	}
 }
 
+// renew leaves the group, so that the next join yields a generation that no tenure of this process had.
+func (k *Keeper) renew(ctx context.Context) {
+	call, cancel := k.Clock.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := k.Store.Leave(call, group, string(k.Member)); err != nil {
+		k.Log.Debug(eventLeave, "member", k.Member, "error", err)
+		return
+	}
+	k.mu.Lock()
+	k.generation = 0
+	k.mu.Unlock()
+}
+
 // expire gives the ownership up once the store may have given it to another.
 func (k *Keeper) expire() {
 	k.mu.Lock()
@@ -179,7 +197,7 @@
 	k.mu.Lock()
 	switch c := c.(type) {
 	case Gained:
-		k.epoch = c.Epoch
+		k.epoch, k.last = c.Epoch, c.Epoch
 		k.owner = k.Member
 	case Lost:
 		if k.epoch == 0 {
