tenure: the ownership is claimed by a conditional append

Ruled out: joining only while there is no owner, since a leave deals anew as well. Now the claim is a record at the end of a partition, its offset is the token, and peers judge whether the owner lives.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -60,7 +60,7 @@
 	bounds  Bounds
 	clock   *timer.Service
 	log     event.Log
-	epoch   platform.Generation
+	epoch   platform.Epoch
 	// began is when the tenure began.
 	began time.Time
 	ctx   context.Context
@@ -126,7 +126,7 @@
 }
 
 // New returns the owner of a tenure with the given epoch.
-func New(ctx context.Context, epoch platform.Generation, o Options) *Dispatcher {
+func New(ctx context.Context, epoch platform.Epoch, o Options) *Dispatcher {
 	return &Dispatcher{
 		store: o.Store, fleet: o.Fleet, clients: o.Clients, bounds: o.Bounds, clock: o.Clock, log: o.Log, epoch: epoch,
 		began: o.Clock.Now(), ctx: ctx, kick: make(chan struct{}, 1), config: o.Config,
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -49,7 +49,7 @@
 	topic platform.Topic
 	clock *timer.Service
 	log   event.Log
-	epoch platform.Generation
+	epoch platform.Epoch
 
 	mu      sync.Mutex
 	pending []write
@@ -61,7 +61,7 @@
 }
 
 // Open fences earlier writers and returns the ledger with all stored records.
-func Open(ctx context.Context, store Store, topic platform.Topic, epoch platform.Generation, clock *timer.Service, log event.Log) (*Ledger, []platform.Record, error) {
+func Open(ctx context.Context, store Store, topic platform.Topic, epoch platform.Epoch, clock *timer.Service, log event.Log) (*Ledger, []platform.Record, error) {
 	l := &Ledger{store: store, topic: topic, clock: clock, log: log, epoch: epoch, wake: make(chan struct{}, 1)}
 	if err := l.send(ctx, nil); err != nil {
 		return nil, nil, err
--- a/process/peers.go
+++ b/process/peers.go
@@ -24,8 +24,6 @@
 	ownerSilence = 1200 * time.Millisecond
 	// storeSilence is how long the store may be silent before an owner gives way to a peer that reaches it.
 	storeSilence = 1300 * time.Millisecond
-	// storeFresh is how recently a peer must have reached the store to take over.
-	storeFresh = 700 * time.Millisecond
 	// witnesses is the number of other members that are asked before the owner is replaced.
 	witnesses = 3
 	// ownerRetry is the time after which a caller may try again while there is no owner.
@@ -81,13 +79,33 @@
 		return notice, nil
 	}
 	notice.Silence = 0
-	if sign.Store && max(p.keeper.Reaches(), d.Stalled()) > storeSilence {
+	notice.Members = p.remember(tenure.Member(sign.Member))
+	if sign.Store && max(p.keeper.Silence(), d.Stalled()) > storeSilence {
 		p.keeper.Resign("a peer reaches the store, this process does not")
 		notice.Release = true
 	}
 	return notice, nil
 }
 
+// remember notes a sign of life and returns the other members that have sent one lately.
+func (p *Process) remember(from tenure.Member) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.clock.Now()
+	p.signs[from] = now
+	var members []string
+	for m, last := range p.signs {
+		if now.Sub(last) > ownerSilence {
+			delete(p.signs, m)
+			continue
+		}
+		if m != from && len(members) < witnesses {
+			members = append(members, string(m))
+		}
+	}
+	return members
+}
+
 // Forward implements ingress.Forwarder.
 func (p *Process) Forward(ctx context.Context, request *relay.Request) *relay.Reply {
 	if d := p.dispatcher(); d != nil {
@@ -163,13 +181,14 @@
 	call, cancel := p.clock.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	_, offset := p.follower.Document()
-	return p.peer(to).Beat(call, &relay.Sign{Member: string(p.keeper.Member), Config: int64(offset), Store: p.keeper.Reaches() < storeFresh})
+	return p.peer(to).Beat(call, &relay.Sign{Member: string(p.keeper.Member), Config: int64(offset), Store: p.follower.Fresh()})
 }
 
 // heard notes that the owner lives.
 func (p *Process) heard(notice *relay.Notice) {
 	p.mu.Lock()
 	p.answered = p.clock.Now()
+	p.members = notice.Members
 	p.mu.Unlock()
 	if len(notice.Document) > 0 && p.follower.Adopt(notice.Document, platform.Offset(notice.Config)) {
 		p.changed()
@@ -182,34 +201,28 @@
 	switch {
 	case err == nil && notice.Self != string(owner):
 		// Another life answers at the address: the owner's process has ended.
-		p.keeper.Remove(ctx, owner, "its process has ended")
+		p.keeper.Replace(ctx, owner, "its process has ended")
 	case err == nil && notice.Release:
-		p.keeper.Remove(ctx, owner, "it does not reach the store")
+		p.keeper.Replace(ctx, owner, "it does not reach the store")
 	case err == nil:
-		p.keeper.Forget(owner)
-		p.keeper.Learn(tenure.Member(notice.Owner))
+		p.keeper.Forget(owner) // the store names the owner
 	case errors.Is(err, syscall.ECONNREFUSED) || silence > ownerSilence:
 		if p.confirmed(ctx, owner) {
-			p.keeper.Remove(ctx, owner, "it does not answer: "+err.Error())
+			p.keeper.Replace(ctx, owner, "it does not answer: "+err.Error())
 		}
 	}
 }
 
 // confirmed reports whether no other member hears the owner either.
 func (p *Process) confirmed(ctx context.Context, owner tenure.Member) bool {
-	asked := 0
-	for _, m := range p.keeper.Members(ctx) {
-		if m == owner || m == p.keeper.Member {
-			continue
-		}
-		notice, err := p.beat(ctx, m)
+	p.mu.Lock()
+	members := p.members
+	p.mu.Unlock()
+	for _, m := range members {
+		notice, err := p.beat(ctx, tenure.Member(m))
 		if err == nil && notice.Owner == string(owner) && notice.Silence >= 0 && notice.Silence < beatPeriod.Milliseconds()+beatTimeout.Milliseconds() {
 			return false
 		}
-		asked++
-		if asked == witnesses {
-			break
-		}
 	}
 	return true
 }
--- a/process/process.go
+++ b/process/process.go
@@ -58,7 +58,10 @@
 	end      context.CancelFunc   // ends the tenure of owner
 	// answered is when the owner last answered a sign of life.
 	answered time.Time
-	members  []tenure.Member
+	// members are other members that the owner has named; they are asked before it is replaced.
+	members []string
+	// signs is when each member last sent a sign of life to this process as the owner.
+	signs map[tenure.Member]time.Time
 }
 
 // New returns an entry.
@@ -71,6 +74,7 @@
 		fleet:   &platform.Fleet{Address: s.Fleet, HTTP: client, Holder: string(s.ID)},
 		clients: dispatch.Clients{Waiting: platform.NewHTTP(workerIdle), Orders: platform.NewHTTP(workerIdle)},
 		peers:   platform.NewHTTP(peerIdle),
+		signs:   map[tenure.Member]time.Time{},
 	}
 	p.follower = &operator.Follower{Store: p.store, Clock: clock, Log: log, Changed: p.changed}
 	p.keeper = &tenure.Keeper{Store: p.store, Member: tenure.NewMember(s.Peers, clock.Now()), Clock: clock, Log: log, Changed: p.tenure}
@@ -157,7 +161,7 @@
 	}
 }
 
-func (p *Process) begin(epoch platform.Generation) {
+func (p *Process) begin(epoch platform.Epoch) {
 	p.log.Info(eventGained, "epoch", epoch)
 	ctx, cancel := context.WithCancel(context.Background())
 	c := p.settings.Contract
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -1,53 +1,48 @@
 // Package tenure decides which process is the owner: the one that places tasks, orders moves and writes
-// the ledger. The platform's group membership gives the ownership, the fencing token that comes with it
-// is enforced by the ledger and by every worker.
+// the ledger. A process becomes the owner by a conditional append to the platform's store, which exactly
+// one process can win. The offset of that record is the fencing token of the tenure: the ledger and every
+// worker refuse an owner whose token is lower.
 package tenure
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"strings"
 	"sync"
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/instance"
-	"hibiscuslane.example/hibiscuslane/ledger"
 	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
 
 const (
-	// TTL is how long the store keeps a silent member. It exceeds the usual outages of the store, so that an
-	// owner keeps its workers through them; members that have ended are removed by their peers.
+	// TTL is how long an owner goes on without a word from the store that it still is the owner. It exceeds
+	// the usual outages of the store, during which nobody else can become the owner.
 	TTL = 8 * time.Second
-	// Margin is how long before the end of TTL an owner stops on its own account.
-	Margin = time.Second
-	// joinPeriod is the time between signs of life. It bounds how late a new owner learns that it is one.
-	joinPeriod = 250 * time.Millisecond
+	// confirmPeriod is the time between looks at the claims.
+	confirmPeriod = 250 * time.Millisecond
 	// callTimeout bounds one call. The store answers in 4 ms, and in about 0.4 s when it is slow.
 	callTimeout = 800 * time.Millisecond
-	// ownersPeriod is the time between looks at the group while the owner is unknown.
-	ownersPeriod = 300 * time.Millisecond
+	// topic holds the claims under one key; the newest names the owner.
+	topic    platform.Topic = "keyed.owner"
+	part                    = 0
+	claimKey                = "owner"
 )
 
-// group is the group whose member with ledger.Part is the owner.
-var group = platform.Group{Name: "owner", Topic: ledger.TopicJobs, TTL: TTL}
-
-// Store is the part of the platform's store that membership uses.
+// Store is the part of the platform's store that a Keeper uses.
 type Store interface {
-	Join(ctx context.Context, group platform.Group, member string, generation platform.Generation) (platform.Share, error)
-	Leave(ctx context.Context, group platform.Group, member string) error
-	Owners(ctx context.Context, group platform.Group) (map[int]string, error)
+	AppendAt(ctx context.Context, topic platform.Topic, part int, at platform.Offset, record platform.Record) error
+	Read(ctx context.Context, topic platform.Topic, part int, from platform.Offset, wait time.Duration) (platform.Batch, error)
+	Newest(ctx context.Context, topic platform.Topic, part int) ([]platform.Record, platform.Offset, error)
 }
 
-// Member names a process in the group: its address for peers and the start of its life.
+// Member names one life of a process: its address for peers and its start.
 type Member string
 
 // NewMember returns the name of a process that started at the given time.
 func NewMember(address instance.Address, start time.Time) Member {
-	return Member(string(address) + "/" + start.UTC().Format("150405.000000"))
+	return Member(string(address) + "/" + start.UTC().Format("20060102T150405.000000"))
 }
 
 // Address returns the address for peers that the name holds.
@@ -60,7 +55,7 @@
 type Change interface{ change() }
 
 // Gained says that this process is the owner now.
-type Gained struct{ Epoch platform.Generation }
+type Gained struct{ Epoch platform.Epoch }
 
 // Lost says that this process is no longer the owner.
 type Lost struct{ Reason string }
@@ -68,7 +63,16 @@
 func (Gained) change() {}
 func (Lost) change()   {}
 
-// Keeper keeps the membership of this process. Fields are set before Run.
+// claim is a record that names an owner; an empty member gives the ownership up.
+type claim struct {
+	member Member
+	offset platform.Offset
+}
+
+// epoch returns the token of the claim. Tokens start at 1, because workers take a missing one for 0.
+func (c claim) epoch() platform.Epoch { return platform.Epoch(c.offset) + 1 }
+
+// Keeper follows the claims for this process. Fields are set before Run.
 type Keeper struct {
 	Store  Store
 	Member Member
@@ -77,17 +81,19 @@
 	// Changed is called for each change of the ownership, in order and not concurrently.
 	Changed func(Change)
 
-	mu         sync.Mutex
-	generation platform.Generation
-	// epoch is the generation with which the ownership was gained; zero while not owner.
-	epoch platform.Generation
-	// last is the epoch of the last tenure of this process. A later one needs a higher epoch.
-	last platform.Generation
-	// alive is when the last sign of life that the store confirmed was sent.
-	alive time.Time
-	owner Member
-	// members are all members of the group, as the store told last.
-	members []Member
+	// step serializes changes of the ownership.
+	step sync.Mutex
+
+	mu sync.Mutex
+	// epoch is the token of the tenure of this process; zero while it is not the owner.
+	epoch platform.Epoch
+	// last is the token of the last tenure of this process. A later one has a higher token.
+	last platform.Epoch
+	// confirmed is when the last look was sent that the store has answered.
+	confirmed time.Time
+	owner     Member
+	// closed is set once this process takes no more part.
+	closed bool
 }
 
 // Owner returns the member that this process believes to be the owner; empty if it knows none.
@@ -101,102 +107,166 @@
 func (k *Keeper) Learn(owner Member) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.epoch == 0 {
+	if k.epoch == 0 && owner != k.Member {
 		k.owner = owner
 	}
 }
 
-// Reaches returns how long ago the store confirmed a sign of life.
-func (k *Keeper) Reaches() time.Duration {
+// Forget drops an owner that is not the owner any more, so that the store is asked again.
+func (k *Keeper) Forget(owner Member) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.alive.IsZero() {
+	if k.owner == owner && k.epoch == 0 {
+		k.owner = ""
+	}
+}
+
+// Silence returns for how long the store has not answered.
+func (k *Keeper) Silence() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.confirmed.IsZero() {
 		return TTL
 	}
-	return k.Clock.Since(k.alive)
+	return k.Clock.Since(k.confirmed)
 }
 
-// Run keeps the membership until ctx ends, and then leaves the group.
+// Run follows the claims until ctx ends, and then gives the ownership up.
 func (k *Keeper) Run(ctx context.Context) {
-	var looked time.Time
 	for {
-		k.join(ctx)
-		if k.Owner() == "" && k.Clock.Since(looked) >= ownersPeriod {
-			looked = k.Clock.Now()
-			k.look(ctx)
-		}
-		if k.Clock.Sleep(ctx, joinPeriod) != nil {
+		k.follow(ctx)
+		if k.Clock.Sleep(ctx, confirmPeriod) != nil {
 			break
 		}
 	}
-	k.step(Lost{Reason: "stopping"})
-	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	k.mu.Lock()
+	k.closed = true
+	epoch := k.epoch
+	k.mu.Unlock()
+	if epoch == 0 {
+		return
+	}
+	k.apply(Lost{Reason: "stopping"})
+	call, cancel := k.Clock.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	if err := k.Store.Leave(call, group, string(k.Member)); err != nil {
-		k.Log.Warn(eventLeave, "member", k.Member, "error", err)
+	err := k.Store.AppendAt(call, topic, part, platform.Offset(epoch), platform.Record{Key: claimKey})
+	if err != nil {
+		k.Log.Warn(eventLeave, "epoch", epoch, "error", err)
 	}
 }
 
-func (k *Keeper) join(ctx context.Context) {
+// follow looks at the claims once. A process that knows another owner relies on the owner's answers to
+// its signs of life instead.
+func (k *Keeper) follow(ctx context.Context) {
 	k.mu.Lock()
-	generation := k.generation
+	epoch, owner := k.epoch, k.owner
 	k.mu.Unlock()
+	switch {
+	case epoch != 0:
+		k.confirm(ctx, epoch)
+	case owner == "":
+		k.claim(ctx, "", "there is no owner")
+	}
+}
+
+// confirm checks that no later claim was made than that of this tenure.
+func (k *Keeper) confirm(ctx context.Context, epoch platform.Epoch) {
 	call, cancel := k.Clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := k.Clock.Now()
-	share, err := k.Store.Join(call, group, string(k.Member), generation)
-	if err != nil {
-		if ctx.Err() == nil {
-			k.Log.Debug(eventJoin, "member", k.Member, "error", err)
-		}
-		k.expire()
+	batch, err := k.Store.Read(call, topic, part, platform.Offset(epoch), 0)
+	if err == nil && batch.End <= platform.Offset(epoch) {
+		k.heard(sent)
 		return
 	}
-	k.mu.Lock()
-	k.alive = sent
-	k.generation = share.Generation
-	held := k.epoch != 0
-	holds := slices.Contains(share.Parts, ledger.Part)
-	spent := share.Generation <= k.last
-	k.mu.Unlock()
-	switch {
-	case holds && !held && spent:
-		k.renew(ctx)
-	case holds && !held:
-		k.step(Gained{Epoch: share.Generation})
-	case !holds && held:
-		k.step(Lost{Reason: "reassigned"})
+	if _, expired := platform.FirstKept(err); expired || err == nil {
+		k.apply(Lost{Reason: "another process has claimed the ownership"})
+		return
+	}
+	if ctx.Err() == nil {
+		k.Log.Debug(eventClaims, "error", err)
+	}
+	if k.Silence() > TTL {
+		k.apply(Lost{Reason: "the store does not answer"})
 	}
 }
 
-// renew leaves the group, so that the next join yields a generation that no tenure of this process had.
-func (k *Keeper) renew(ctx context.Context) {
+func (k *Keeper) heard(sent time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.confirmed = sent
+}
+
+// claim makes this process the owner unless a claim of another one than the given member stands.
+func (k *Keeper) claim(ctx context.Context, instead Member, reason string) {
 	call, cancel := k.Clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if err := k.Store.Leave(call, group, string(k.Member)); err != nil {
-		k.Log.Debug(eventLeave, "member", k.Member, "error", err)
+	sent := k.Clock.Now()
+	newest, end, err := k.newest(call)
+	if err != nil {
+		if ctx.Err() == nil {
+			k.Log.Debug(eventClaims, "error", err)
+		}
 		return
 	}
+	k.heard(sent)
 	k.mu.Lock()
-	k.generation = 0
+	closed, last := k.closed, k.last
 	k.mu.Unlock()
+	if closed {
+		return
+	}
+	if newest.member == k.Member && newest.epoch() > last {
+		k.apply(Gained{Epoch: newest.epoch()}) // a claim whose answer was lost
+		return
+	}
+	if newest.member != "" && newest.member != instead && newest.member != k.Member {
+		k.Learn(newest.member)
+		return
+	}
+	mine := claim{member: k.Member, offset: end}
+	err = k.Store.AppendAt(call, topic, part, end, platform.Record{Key: claimKey, Value: []byte(k.Member)})
+	k.Log.Info(eventClaim, "epoch", mine.epoch(), "instead", newest.member, "reason", reason, "error", err)
+	if err == nil {
+		k.apply(Gained{Epoch: mine.epoch()})
+	}
 }
 
-// expire gives the ownership up once the store may have given it to another.
-func (k *Keeper) expire() {
-	k.mu.Lock()
-	late := k.epoch != 0 && k.Clock.Since(k.alive) > TTL-Margin
-	k.mu.Unlock()
-	if late {
-		k.step(Lost{Reason: "store does not answer"})
+// newest returns the newest claim and the offset after the last one.
+func (k *Keeper) newest(ctx context.Context) (claim, platform.Offset, error) {
+	records, end, err := k.Store.Newest(ctx, topic, part)
+	if err != nil {
+		return claim{}, 0, err
+	}
+	var c claim
+	for _, r := range records {
+		if r.Key == claimKey {
+			c = claim{member: Member(r.Value), offset: r.Offset}
+		}
 	}
+	return c, end, nil
+}
+
+// Replace makes this process the owner in place of a member that has ended or gives way.
+func (k *Keeper) Replace(ctx context.Context, member Member, reason string) {
+	k.Forget(member)
+	k.claim(ctx, member, reason)
 }
 
-// step applies a change of the ownership.
-func (k *Keeper) step(c Change) {
+// Resign gives the ownership up. A peer is to claim it.
+func (k *Keeper) Resign(reason string) { k.apply(Lost{Reason: reason}) }
+
+// apply carries a change of the ownership out.
+func (k *Keeper) apply(c Change) {
+	k.step.Lock()
+	defer k.step.Unlock()
 	k.mu.Lock()
 	switch c := c.(type) {
 	case Gained:
+		if k.closed || c.Epoch <= k.last {
+			k.mu.Unlock()
+			return
+		}
 		k.epoch, k.last = c.Epoch, c.Epoch
 		k.owner = k.Member
 	case Lost:
@@ -210,55 +280,3 @@
 	k.mu.Unlock()
 	k.Changed(c)
 }
-
-// look asks the store for the owner.
-func (k *Keeper) look(ctx context.Context) {
-	call, cancel := k.Clock.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	owners, err := k.Store.Owners(call, group)
-	if err != nil {
-		if ctx.Err() == nil {
-			k.Log.Debug(eventOwners, "error", err)
-		}
-		return
-	}
-	members := map[Member]bool{}
-	for _, m := range owners {
-		members[Member(m)] = true
-	}
-	k.mu.Lock()
-	k.members = slices.Collect(maps.Keys(members))
-	k.mu.Unlock()
-	if owner := Member(owners[ledger.Part]); owner != k.Member {
-		k.Learn(owner)
-	}
-}
-
-// Members asks the store for the members of the group and returns them, or those known last.
-func (k *Keeper) Members(ctx context.Context) []Member {
-	k.look(ctx)
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.members
-}
-
-// Forget drops an owner that does not answer, so that the store is asked again.
-func (k *Keeper) Forget(owner Member) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.owner == owner && k.epoch == 0 {
-		k.owner = ""
-	}
-}
-
-// Remove takes a member out of the group that has ended or asked for it.
-func (k *Keeper) Remove(ctx context.Context, member Member, reason string) {
-	call, cancel := k.Clock.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	err := k.Store.Leave(call, group, string(member))
-	k.Log.Info(eventRemove, "member", member, "reason", reason, "error", err)
-	k.Forget(member)
-}
-
-// Resign gives the ownership up at once. A peer removes this process from the group.
-func (k *Keeper) Resign(reason string) { k.step(Lost{Reason: reason}) }
