dispatch: lives of a machine succeed each other; wave: as narrow as time allows

Causes: runs inherited from an earlier owner were kept for 11.7 s on workers that could not be reached, although the earlier owner had given way or a new life had begun on the machine; a worker whose address another one had taken kept its runs in doubt for ever (its lease was unknown); a wave emptied twice as many machines at once as may be away, whatever time was left.

--- a/dispatch/discover.go
+++ b/dispatch/discover.go
@@ -104,6 +104,7 @@
 	d.listed[id] = l
 	s := d.stations[id]
 	if s == nil {
+		d.succeeded(l)
 		d.log.Info(eventWorker, "worker", id, "pool", l.Pool, "machine", l.Machine, "state", l.State, "offset", r.Offset)
 		d.admit(l)
 		d.wake()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -27,9 +27,8 @@
 	tickPeriod = 50 * time.Millisecond
 	// openDelay is the pause before a failed start of a tenure is repeated.
 	openDelay = 100 * time.Millisecond
-	// inheritTime is how long runs of an earlier owner are kept on workers that this one cannot reach: the
-	// earlier owner may have renewed them until the end of its membership, and a clock may be 2 % slow.
-	inheritTime = tenure.TTL + leaseTime + leaseTime/20
+	// expiry is how long a lease lasts on a worker whose clock is slow.
+	expiry = leaseTime + leaseTime/20
 	// runsPerEpoch separates the run numbers of tenures.
 	runsPerEpoch = 1000
 )
@@ -63,8 +62,11 @@
 	epoch   platform.Epoch
 	// began is when the tenure began.
 	began time.Time
-	ctx   context.Context
-	kick  chan struct{}
+	// foreign is how long runs of the earlier owner are kept on workers that this one cannot reach: the
+	// earlier owner may have renewed their leases until its tenure ended.
+	foreign time.Duration
+	ctx     context.Context
+	kick    chan struct{}
 
 	mu       sync.Mutex
 	ledger   *ledger.Ledger // nil until the stored jobs are loaded
@@ -125,10 +127,14 @@
 	Config  *queue.Config
 }
 
-// New returns the owner of a tenure with the given epoch.
-func New(ctx context.Context, epoch platform.Epoch, o Options) *Dispatcher {
+// New returns the owner of a tenure that was gained.
+func New(ctx context.Context, gained tenure.Gained, o Options) *Dispatcher {
+	foreign := expiry
+	if !gained.Clean {
+		foreign += tenure.TTL
+	}
 	return &Dispatcher{
-		store: o.Store, fleet: o.Fleet, clients: o.Clients, bounds: o.Bounds, clock: o.Clock, log: o.Log, epoch: epoch,
+		store: o.Store, fleet: o.Fleet, clients: o.Clients, bounds: o.Bounds, clock: o.Clock, log: o.Log, epoch: gained.Epoch, foreign: foreign,
 		began: o.Clock.Now(), ctx: ctx, kick: make(chan struct{}, 1), config: o.Config,
 		jobs: map[task.JobID]*job{}, stations: map[worker.ID]*station{}, listed: map[worker.ID]worker.Listing{},
 		runs: map[runID]*run{}, learned: map[string]*experience{},
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -23,6 +23,7 @@
 	eventHeard       = event.Define(2517, "worker.heard", "a silent worker answers again")
 	eventFenced      = event.Define(2518, "tenure.fenced", "a worker has seen the token of a later owner")
 	eventReborn      = event.Define(2519, "worker.reborn", "a worker has begun another life")
+	eventOver        = event.Define(2526, "worker.over", "the life of a worker has ended; another one has taken its place")
 	eventList        = event.Define(2520, "list.failed", "the registrations of workers cannot be read")
 	eventListed      = event.Define(2521, "list.loaded", "all registrations of workers were read")
 	eventWorker      = event.Define(2522, "worker.listed", "a worker has registered")
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -155,11 +155,11 @@
 		number = d.gangRun(j, key)
 	}
 	r := &run{
-		id: runID{key: key, run: number}, job: j, worker: s.id, station: s, birth: s.birth, step: step,
+		id: runID{key: key, run: number}, job: j, worker: s.id, machine: s.listing.Machine, station: s, birth: s.birth, step: step,
 		demand: step.Demand(), phase: phaseStored, percent: 100, ordered: d.clock.Now(),
 	}
 	t.Last = r.id.run
-	t.Places = append(t.Places, task.Place{Worker: string(s.id), Birth: int64(s.birth), Run: r.id.run})
+	t.Places = append(t.Places, task.Place{Worker: string(s.id), Birth: int64(s.birth), Run: r.id.run, Machine: string(s.listing.Machine)})
 	d.runs[r.id] = r
 	s.hold(r)
 	j.running++
@@ -190,7 +190,7 @@
 func (d *Dispatcher) check() {
 	now := d.clock.Now()
 	for _, s := range d.stations {
-		if !s.silent.IsZero() && len(s.runs) > 0 && s.lease.Known() && s.lease.Expired(now) {
+		if !s.silent.IsZero() && len(s.runs) > 0 && d.expired(s, now) {
 			d.lapse(s, now)
 		}
 		_, listed := d.listed[s.id]
@@ -209,6 +209,15 @@
 	}
 }
 
+// expired reports whether nothing can run any more on a silent worker. One of which only the life is known
+// may still carry out an order with a deadline of an earlier life, which it shortens to its longest lease.
+func (d *Dispatcher) expired(s *station, now time.Time) bool {
+	if s.lease.Known() {
+		return s.lease.Expired(now)
+	}
+	return now.Sub(s.silent) > d.bounds.MaxLease+expiry
+}
+
 // overdue repeats stops.
 func (d *Dispatcher) overdue(r *run, now time.Time) {
 	if r.phase == phaseStopping && r.voided.IsZero() {
@@ -219,7 +228,7 @@
 // unreached gives up runs of earlier owners on workers that this one has not reached, once their leases
 // have certainly expired. The earlier owner may have renewed them until its own ownership ended.
 func (d *Dispatcher) unreached(now time.Time) {
-	if now.Sub(d.began) < inheritTime {
+	if now.Sub(d.began) < d.foreign {
 		return
 	}
 	for _, r := range d.runs {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -41,6 +41,7 @@
 	// station is nil while the worker is not listed.
 	station *station
 	birth   worker.Birth
+	machine worker.MachineID
 	step    *task.Step
 	demand  task.Room
 	phase   phase
@@ -64,7 +65,7 @@
 func (d *Dispatcher) inherit(j *job, key task.Key, place task.Place) {
 	step := &j.Spec.Steps[key.Step]
 	r := &run{
-		id: runID{key: key, run: place.Run}, job: j, worker: worker.ID(place.Worker), birth: worker.Birth(place.Birth),
+		id: runID{key: key, run: place.Run}, job: j, worker: worker.ID(place.Worker), birth: worker.Birth(place.Birth), machine: worker.MachineID(place.Machine),
 		step: step, demand: step.Demand(), phase: phaseDoubt, ordered: d.began, percent: 100,
 	}
 	d.runs[r.id] = r
@@ -136,7 +137,8 @@
 	d.counters.Refused++
 	d.log.Info(eventRefused, "task", r.id.key, "run", r.id.run, "worker", s.id, "reason", refusal)
 	if refusal == worker.RefusedReborn {
-		d.reborn(s, 0)
+		d.over(s, now)
+		return
 	}
 	if refusal != worker.RefusedOld {
 		s.suspect = now.Add(suspectTime)
--- a/dispatch/station.go
+++ b/dispatch/station.go
@@ -248,7 +248,7 @@
 		d.log.Info(eventUnheard, "worker", s.id, "error", err)
 	}
 	if refused && refusal == worker.RefusedReborn {
-		d.reborn(s, 0)
+		d.over(s, now)
 	}
 	return failPause
 }
@@ -334,6 +334,31 @@
 	}
 }
 
+// over notes that the life of a worker has ended for certain: another worker answers at its address, or
+// another life has begun on its machine.
+func (d *Dispatcher) over(s *station, now time.Time) {
+	if len(s.runs) > 0 {
+		d.log.Info(eventOver, "worker", s.id, "machine", s.listing.Machine, "runs", len(s.runs))
+	}
+	for _, r := range s.runs {
+		d.vanished(r, worker.CauseLapsed, now)
+	}
+	s.fenced = false
+}
+
+// succeeded ends what ran in earlier lives on the machine of a worker.
+func (d *Dispatcher) succeeded(l worker.Listing) {
+	if l.Machine == "" || l.Birth == 0 {
+		return
+	}
+	now := d.clock.Now()
+	for _, r := range d.runs {
+		if r.machine == l.Machine && r.worker != l.ID && r.birth < l.Birth {
+			d.vanished(r, worker.CauseLapsed, now)
+		}
+	}
+}
+
 // lapse gives up the runs of a worker whose lease has certainly expired.
 func (d *Dispatcher) lapse(s *station, now time.Time) {
 	for _, r := range s.runs {
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -7,6 +7,8 @@
 
 	"hibiscuslane.example/hibiscuslane/ledger"
 	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/schedule"
 	"hibiscuslane.example/hibiscuslane/task"
 	"hibiscuslane.example/hibiscuslane/wave"
 	"hibiscuslane.example/hibiscuslane/worker"
@@ -38,6 +40,8 @@
 	request wave.Request
 	// began is when this process first heard of the wave.
 	began time.Time
+	// stored is when an earlier owner first heard of it; zero if none did.
+	stored time.Time
 	// done are the machines whose maintenance was confirmed.
 	done map[worker.MachineID]bool
 	// chosen is when a machine was chosen to be emptied.
@@ -70,6 +74,9 @@
 	if len(w.request.Machines) == 0 {
 		d.log.Info(eventWave, "wave", request.Number, "machines", len(request.Machines), "most", request.Most, "within", request.Within)
 		w.began = read
+		if !w.stored.IsZero() && w.stored.Before(read) {
+			w.began = w.stored
+		}
 	}
 	w.request = request
 }
@@ -89,8 +96,23 @@
 
 // waveRecord is the stored progress of a wave.
 type waveRecord struct {
-	Wave wave.Number        `json:"wave"`
-	Done []worker.MachineID `json:"done"`
+	Wave  wave.Number        `json:"wave"`
+	Began int64              `json:"began"` // Unix milliseconds
+	Done  []worker.MachineID `json:"done,omitempty"`
+}
+
+// storeWave stores the progress of a wave.
+func (d *Dispatcher) storeWave(w *waveState) {
+	record := waveRecord{Wave: w.request.Number, Began: w.began.UnixMilli()}
+	for machine := range w.done {
+		record.Done = append(record.Done, machine)
+	}
+	data, err := json.Marshal(record)
+	if err != nil {
+		d.log.Error(eventEncode, "wave", w.request.Number, "error", err)
+		return
+	}
+	d.ledger.Write([]platform.Record{{Key: platform.WaveKey(w.request.Number), Value: data}}, nil)
 }
 
 // restoreWave takes over the stored progress of a wave.
@@ -101,6 +123,7 @@
 		return
 	}
 	w := d.wave(r.Wave)
+	w.stored = time.UnixMilli(r.Began)
 	for _, id := range r.Done {
 		w.done[id] = true
 	}
@@ -206,6 +229,7 @@
 	if !w.told {
 		w.told = true
 		d.publish(w.request.Number, false)
+		d.storeWave(w)
 	}
 	stations := map[worker.MachineID]*station{}
 	for _, s := range d.stations {
@@ -213,6 +237,7 @@
 			stations[s.listing.Machine] = s
 		}
 	}
+	loads := d.loads(now)
 	var machines []wave.Machine
 	away, left := 0, 0
 	for _, id := range w.request.Machines {
@@ -226,7 +251,7 @@
 		}
 		left++
 		if !ordered {
-			machines = append(machines, d.candidate(w, m, stations[id]))
+			machines = append(machines, d.candidate(w, m, stations[id], loads))
 		}
 	}
 	if left == 0 {
@@ -245,10 +270,35 @@
 	}
 }
 
+// loads returns for each pool the reserved and the waiting share of its capacity.
+func (d *Dispatcher) loads(now time.Time) map[pool.Name]float64 {
+	used, all := map[pool.Name]int64{}, map[pool.Name]int64{}
+	for _, s := range d.stations {
+		used[s.listing.Pool] += s.used.CPU
+		all[s.listing.Pool] += s.listing.Capacity.CPU
+	}
+	demands := map[pool.Name][]*schedule.Demand{}
+	for _, j := range d.open {
+		d.demands(j, now, demands)
+	}
+	for name, list := range demands {
+		for _, demand := range list {
+			used[name] += demand.Spec.Demand().CPU * int64(len(demand.Tasks))
+		}
+	}
+	loads := map[pool.Name]float64{}
+	for name, capacity := range all {
+		if capacity > 0 {
+			loads[name] = float64(used[name]) / float64(capacity)
+		}
+	}
+	return loads
+}
+
 // candidate describes a machine that still has to be maintained.
-func (d *Dispatcher) candidate(w *waveState, m worker.Machine, s *station) wave.Machine {
+func (d *Dispatcher) candidate(w *waveState, m worker.Machine, s *station, loads map[pool.Name]float64) wave.Machine {
 	since, chosen := w.chosen[m.ID]
-	c := wave.Machine{ID: m.ID, Up: m.State == worker.MachineUp, Chosen: chosen, Since: since, Rack: rackOf(m.Labels)}
+	c := wave.Machine{ID: m.ID, Up: m.State == worker.MachineUp, Chosen: chosen, Since: since, Pool: m.Pool, Load: loads[m.Pool]}
 	if s == nil {
 		return c
 	}
@@ -344,16 +394,12 @@
 	d.log.Info(eventMaintain, "machine", id, "wave", w.request.Number, "done", len(w.done)+1, "of", len(w.request.Machines))
 	d.upkeep.ordered[id] = d.clock.Now()
 	w.done[id] = true
-	record := waveRecord{Wave: w.request.Number}
-	for machine := range w.done {
-		record.Done = append(record.Done, machine)
-	}
-	data, err := json.Marshal(record)
-	if err != nil {
-		d.log.Error(eventEncode, "wave", w.request.Number, "error", err)
-		return true
+	d.storeWave(w)
+	for _, s := range d.stations {
+		if s.listing.Machine == id {
+			d.over(s, d.clock.Now())
+		}
 	}
-	d.ledger.Write([]platform.Record{{Key: platform.WaveKey(w.request.Number), Value: data}}, nil)
 	return true
 }
 
--- a/process/process.go
+++ b/process/process.go
@@ -155,17 +155,18 @@
 func (p *Process) tenure(c tenure.Change) {
 	switch c := c.(type) {
 	case tenure.Gained:
-		p.begin(c.Epoch)
+		p.begin(c)
 	case tenure.Lost:
 		p.finish(c.Reason)
 	}
 }
 
-func (p *Process) begin(epoch platform.Epoch) {
-	p.log.Info(eventGained, "epoch", epoch)
+func (p *Process) begin(gained tenure.Gained) {
+	epoch := gained.Epoch
+	p.log.Info(eventGained, "epoch", epoch, "clean", gained.Clean)
 	ctx, cancel := context.WithCancel(context.Background())
 	c := p.settings.Contract
-	d := dispatch.New(ctx, epoch, dispatch.Options{
+	d := dispatch.New(ctx, gained, dispatch.Options{
 		Store: p.store, Fleet: p.fleet, Clients: p.clients, Clock: p.clock, Log: p.log.With("epoch", epoch), Config: p.follower.Config(),
 		Bounds: dispatch.Bounds{
 			MaxLease: c.MaxLease, Heartbeat: p.settings.Heartbeat, Status: c.Status, Stop: c.Stop, Turn: c.Turn,
--- a/task/job.go
+++ b/task/job.go
@@ -25,9 +25,10 @@
 
 // Place says where a run of a task was ordered.
 type Place struct {
-	Worker string    `json:"worker"`
-	Birth  int64     `json:"birth"`
-	Run    RunNumber `json:"run"`
+	Worker  string    `json:"worker"`
+	Birth   int64     `json:"birth"`
+	Machine string    `json:"machine,omitempty"`
+	Run     RunNumber `json:"run"`
 }
 
 // Task is the progress of one task.
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	// TTL is how long an owner goes on without a word from the store that it still is the owner. It exceeds
-	// the usual outages of the store, during which nobody else can become the owner.
-	TTL = 8 * time.Second
+	// TTL is how long an owner goes on without a word from the store that it still is the owner. Together
+	// with the leases of workers it spans the usual outages of the store, and it bounds how long a later
+	// owner has to wait for workers that it cannot reach.
+	TTL = 4 * time.Second
 	// confirmPeriod is the time between looks at the claims.
 	confirmPeriod = 250 * time.Millisecond
 	// callTimeout bounds one call. The store answers in 4 ms, and in about 0.4 s when it is slow.
@@ -55,7 +56,11 @@
 type Change interface{ change() }
 
 // Gained says that this process is the owner now.
-type Gained struct{ Epoch platform.Epoch }
+type Gained struct {
+	Epoch platform.Epoch
+	// Clean says that the earlier owner certainly gives no orders any more.
+	Clean bool
+}
 
 // Lost says that this process is no longer the owner.
 type Lost struct{ Reason string }
@@ -165,7 +170,7 @@
 	case epoch != 0:
 		k.confirm(ctx, epoch)
 	case owner == "":
-		k.claim(ctx, "", "there is no owner")
+		k.claim(ctx, takeover{reason: "there is no owner"})
 	}
 }
 
@@ -197,8 +202,17 @@
 	k.confirmed = sent
 }
 
-// claim makes this process the owner unless a claim of another one than the given member stands.
-func (k *Keeper) claim(ctx context.Context, instead Member, reason string) {
+// takeover is an attempt to become the owner.
+type takeover struct {
+	// instead is the member whose claim may be replaced; empty if none may be.
+	instead Member
+	// clean says that this member certainly gives no orders any more.
+	clean  bool
+	reason string
+}
+
+// claim makes this process the owner unless a claim of another member stands.
+func (k *Keeper) claim(ctx context.Context, t takeover) {
 	call, cancel := k.Clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := k.Clock.Now()
@@ -220,15 +234,16 @@
 		k.apply(Gained{Epoch: newest.epoch()}) // a claim whose answer was lost
 		return
 	}
-	if newest.member != "" && newest.member != instead && newest.member != k.Member {
+	if newest.member != "" && newest.member != t.instead && newest.member != k.Member {
 		k.Learn(newest.member)
 		return
 	}
+	clean := newest.member == "" || newest.member == k.Member || t.clean
 	mine := claim{member: k.Member, offset: end}
 	err = k.Store.AppendAt(call, topic, part, end, platform.Record{Key: claimKey, Value: []byte(k.Member)})
-	k.Log.Info(eventClaim, "epoch", mine.epoch(), "instead", newest.member, "reason", reason, "error", err)
+	k.Log.Info(eventClaim, "epoch", mine.epoch(), "instead", newest.member, "reason", t.reason, "clean", clean, "error", err)
 	if err == nil {
-		k.apply(Gained{Epoch: mine.epoch()})
+		k.apply(Gained{Epoch: mine.epoch(), Clean: clean})
 	}
 }
 
@@ -247,10 +262,11 @@
 	return c, end, nil
 }
 
-// Replace makes this process the owner in place of a member that has ended or gives way.
-func (k *Keeper) Replace(ctx context.Context, member Member, reason string) {
+// Replace makes this process the owner in place of a member. Clean says that the member has certainly ended
+// or given way; otherwise it only gave no answer.
+func (k *Keeper) Replace(ctx context.Context, member Member, clean bool, reason string) {
 	k.Forget(member)
-	k.claim(ctx, member, reason)
+	k.claim(ctx, takeover{instead: member, clean: clean, reason: reason})
 }
 
 // Resign gives the ownership up. A peer is to claim it.
--- a/wave/plan.go
+++ b/wave/plan.go
@@ -1,9 +1,11 @@
 package wave
 
 import (
+	"math"
 	"sort"
 	"time"
 
+	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/worker"
 )
 
@@ -18,8 +20,9 @@
 	Since time.Time
 	// Running is the number of tasks on the machine that end on their own, Lasting that of the others.
 	Running, Lasting int
-	// Rack is where the machine stands.
-	Rack string
+	Pool             pool.Name
+	// Load is the reserved and the waiting share of the capacity of its pool.
+	Load float64
 }
 
 // Plan is what to do next in a wave.
@@ -41,60 +44,67 @@
 }
 
 const (
-	// ahead is how many machines are emptied at once beside those that are away, as a multiple of the
-	// number that may be away, so that one is empty when another returns.
-	ahead = 1
-	// emptyTime is how long a machine is given to become empty when there is time.
-	emptyTime = 3 * time.Second
-	// reserve is the part of the remaining time that is kept for machines that become empty late.
-	reserve = 0.25
+	// emptyTime is how long a machine usually takes to become empty: some tasks have to end on their own.
+	emptyTime = 2 * time.Second
+	// patience is how long a machine is given to become empty before tasks that end on their own are ended.
+	patience = 4 * time.Second
+	// usable is the part of the remaining time that is planned with; the rest is for machines that are
+	// down or become empty late.
+	usable = 0.6
+	// quietLoad is the load of a pool below which its machines can be spared.
+	quietLoad = 0.7
 )
 
-// Next decides what to do next. Machines that are idle go first, so that maintenance costs no work. A
-// machine whose tasks do not end is maintained all the same once the wave would be late otherwise.
+// Next decides what to do next. As few machines as the remaining time allows are away at once, so that
+// the pools keep their capacity. Machines of quiet pools and idle ones go first, since a queue's burst
+// lasts some seconds and passes. A machine whose tasks do not end is maintained all the same once it was
+// given time.
 func Next(request Request, machines []Machine, pace Pace, now time.Time) Plan {
 	var plan Plan
+	width := width(request, len(machines), pace)
 	room := request.Most - pace.Away
 	sort.SliceStable(machines, func(i, j int) bool { return before(machines[i], machines[j]) })
-	waiting := 0
+	busy := pace.Away
+	late := pace.Left < patience*2
 	for _, m := range machines {
-		if m.Up {
-			waiting++
-		}
-	}
-	hurry := hurried(request, waiting, pace)
-	emptying := 0
-	for _, m := range machines {
-		if !m.Up {
+		if !m.Up || busy >= width && !m.Chosen {
 			continue
 		}
 		idle := m.Running == 0 && m.Lasting == 0
-		forced := hurry && m.Chosen && now.Sub(m.Since) > emptyTime && m.Lasting == 0
-		if room > 0 && (idle || forced) {
+		due := m.Chosen && now.Sub(m.Since) > patience && m.Lasting == 0
+		switch {
+		case room > 0 && (idle || due):
 			plan.Maintain = append(plan.Maintain, m.ID)
 			room--
-			continue
-		}
-		if m.Chosen || emptying < request.Most*ahead {
+			busy++
+		case m.Chosen || m.Load < quietLoad || late:
 			plan.Empty = append(plan.Empty, m.ID)
-			emptying++
+			busy++
 		}
 	}
 	return plan
 }
 
-// hurried reports whether the machines that are left need all the time that is left.
-func hurried(request Request, waiting int, pace Pace) bool {
-	rounds := (waiting + request.Most - 1) / request.Most
-	need := time.Duration(rounds) * (pace.Each + emptyTime/2)
-	return float64(need) > (1-reserve)*float64(pace.Left)
+// width returns how many machines have to be away or becoming empty at once to be in time.
+func width(request Request, left int, pace Pace) int {
+	if pace.Left <= 0 {
+		return 2 * request.Most
+	}
+	need := float64(left+pace.Away) * float64(pace.Each+emptyTime) / (usable * float64(pace.Left))
+	return min(max(int(math.Ceil(need)), 1), 2*request.Most)
 }
 
-// before orders machines: chosen ones first, then those with the least to lose.
+// before orders machines: chosen ones first, then idle ones, then those of quiet pools with the least to lose.
 func before(a, b Machine) bool {
 	if a.Chosen != b.Chosen {
 		return a.Chosen
 	}
+	if ia, ib := a.Running+a.Lasting == 0, b.Running+b.Lasting == 0; ia != ib {
+		return ia
+	}
+	if qa, qb := a.Load < quietLoad, b.Load < quietLoad; qa != qb {
+		return qa
+	}
 	if a.Lasting != b.Lasting {
 		return a.Lasting < b.Lasting
 	}
