balance: machines follow the work; dispatch: acknowledgements wait for all earlier writes

Machines now move to the pool that lacks capacity, by arriving work and backlog, and idle ones to the spare pool.

--- a/dispatch/durable.go
+++ b/dispatch/durable.go
@@ -49,10 +49,7 @@
 			acks = append(acks, ack{station: s, birth: s.birth, number: s.listedEnd})
 		}
 	}
-	if len(d.dirty) == 0 {
-		for _, a := range acks {
-			d.acknowledge(a)
-		}
+	if len(d.dirty) == 0 && len(acks) == 0 {
 		return
 	}
 	var records []platform.Record
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -54,8 +54,9 @@
 	j := &job{Job: task.New(id, string(name), q.Pool, spec, now), queue: q}
 	d.jobs[id] = j
 	d.insert(j)
+	d.arrived(j, now)
 	d.counters.Accepted++
-	d.log.Info(eventAccept, "job", id, "queue", name, "version", d.config.Version, "steps", len(spec.Steps), "open", len(d.open))
+	d.log.Info(eventAccept, "job", id, "queue", name, "version", d.config.Version, "steps", len(spec.Steps), "lasting", spec.Lasting(), "open", len(d.open))
 	outcome := d.watchWrite(j)
 	j.after = append(j.after, func(err error) { j.stored = err == nil })
 	return outcome, nil
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -20,11 +20,7 @@
 		return
 	}
 	now := d.clock.Now()
-	demands := map[pool.Name][]*schedule.Demand{}
-	for _, j := range d.open {
-		d.demands(j, now, demands)
-	}
-	for name, list := range demands {
+	for name, list := range d.waiting(now) {
 		workers := d.workers(name, now)
 		if len(workers) == 0 {
 			continue
@@ -35,6 +31,15 @@
 	}
 }
 
+// waiting returns the waiting tasks by pool.
+func (d *Dispatcher) waiting(now time.Time) map[pool.Name][]*schedule.Demand {
+	demands := map[pool.Name][]*schedule.Demand{}
+	for _, j := range d.open {
+		d.demands(j, now, demands)
+	}
+	return demands
+}
+
 // demands adds the waiting tasks of a job to those of its pool.
 func (d *Dispatcher) demands(j *job, now time.Time, into map[pool.Name][]*schedule.Demand) {
 	for k := range j.Spec.Occurrences() {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -256,7 +256,7 @@
 	}
 	delete(d.runs, r.id)
 	if r.station != nil {
-		r.station.free(r)
+		r.station.free(r, d.clock.Now())
 	}
 	r.job.running--
 	t := r.task()
--- a/dispatch/station.go
+++ b/dispatch/station.go
@@ -60,6 +60,8 @@
 	orders chan func(context.Context)
 	wakeup chan struct{}
 	cancel context.CancelFunc
+	// idle is when the last run ended.
+	idle time.Time
 	// leaving is set while the machine is to be emptied.
 	leaving bool
 	// drained is when the worker was first listed as draining.
@@ -104,7 +106,7 @@
 		id: l.ID, birth: l.Birth, listing: l, rack: rackOf(l.Labels), runs: map[runID]*run{},
 		caller: &platform.Worker{ID: l.ID, Address: l.Address, Waiting: d.clients.Waiting, Orders: d.clients.Orders},
 		orders: make(chan func(context.Context), maxOrders), wakeup: make(chan struct{}, 1), cancel: cancel,
-		heard: d.clock.Now(),
+		heard: d.clock.Now(), idle: d.clock.Now(),
 	}
 	d.stations[l.ID] = s
 	for _, r := range d.runs {
@@ -114,7 +116,7 @@
 		}
 	}
 	go d.session(ctx, s)
-	go d.send(ctx, s)
+	go d.command(ctx, s)
 	return s
 }
 
@@ -125,15 +127,16 @@
 }
 
 // free returns the room of a run.
-func (s *station) free(r *run) {
+func (s *station) free(r *run, now time.Time) {
 	if s.runs[r.id] == r {
 		delete(s.runs, r.id)
 		s.used = s.used.Sub(r.demand)
+		s.idle = now
 	}
 }
 
-// send gives the orders of a worker, one after the other.
-func (d *Dispatcher) send(ctx context.Context, s *station) {
+// command gives the orders of a worker, one after the other.
+func (d *Dispatcher) command(ctx context.Context, s *station) {
 	for {
 		select {
 		case <-ctx.Done():
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"encoding/json"
 	"slices"
 	"time"
@@ -8,15 +9,15 @@
 	"hibiscuslane.example/hibiscuslane/ledger"
 	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/pool"
-	"hibiscuslane.example/hibiscuslane/schedule"
 	"hibiscuslane.example/hibiscuslane/task"
 	"hibiscuslane.example/hibiscuslane/wave"
 	"hibiscuslane.example/hibiscuslane/worker"
 )
 
 const (
-	// machinePeriod is the time between reads of the list of machines while a wave runs.
-	machinePeriod = 300 * time.Millisecond
+	// machinePeriod is the time between reads of the list of machines. A burst lasts some seconds, so a few
+	// reads a second find it early enough; the platform allows 64 for all.
+	machinePeriod = 200 * time.Millisecond
 	// duties bounds a call for machines.
 	dutyTimeout = 1500 * time.Millisecond
 	// waveKey begins the keys of the ledger under which the progress of waves is kept.
@@ -29,12 +30,24 @@
 type upkeep struct {
 	waves    map[wave.Number]*waveState
 	machines map[worker.MachineID]worker.Machine
-	// ordered is when an order for a machine was first sent that may still be in force.
-	ordered map[worker.MachineID]time.Time
+	// ordered are the orders for machines that may still be in force.
+	ordered map[worker.MachineID]errand
+	// unfit are the pools that the platform refused for a machine.
+	unfit map[worker.MachineID]pool.Name
 	// status publishes the state of waves; nil until it is open.
 	status *ledger.Ledger
 }
 
+// errand is an order for a machine.
+type errand struct {
+	// since is when it was sent, or confirmed.
+	since time.Time
+	// away is how long it keeps the machine away.
+	away time.Duration
+	// to is the pool that the machine moves to; empty for maintenance.
+	to pool.Name
+}
+
 // waveState is the progress of a wave.
 type waveState struct {
 	request wave.Request
@@ -84,7 +97,6 @@
 func (d *Dispatcher) wave(number wave.Number) *waveState {
 	if d.upkeep.waves == nil {
 		d.upkeep.waves = map[wave.Number]*waveState{}
-		d.upkeep.ordered = map[worker.MachineID]time.Time{}
 	}
 	w := d.upkeep.waves[number]
 	if w == nil {
@@ -139,7 +151,7 @@
 		return
 	}
 	for {
-		if d.waiting() {
+		if d.Loaded() {
 			d.maintainOnce()
 		}
 		if d.clock.Sleep(d.ctx, machinePeriod) != nil {
@@ -175,21 +187,6 @@
 	}
 }
 
-// waiting reports whether a wave has work left.
-func (d *Dispatcher) waiting() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.ledger == nil {
-		return false
-	}
-	for _, w := range d.upkeep.waves {
-		if !w.completed && !w.began.IsZero() {
-			return true
-		}
-	}
-	return len(d.upkeep.ordered) > 0
-}
-
 // maintainOnce reads the machines and takes the next steps of all waves.
 func (d *Dispatcher) maintainOnce() {
 	call, cancel := d.clock.WithTimeout(d.ctx, dutyTimeout)
@@ -206,9 +203,9 @@
 	for _, m := range list {
 		d.upkeep.machines[m.ID] = m
 	}
-	for id, since := range d.upkeep.ordered {
+	for id, e := range d.upkeep.ordered {
 		m, ok := d.upkeep.machines[id]
-		if !ok || m.State == worker.MachineUp && read.Sub(since) > d.bounds.Maintenance+returnSlack {
+		if !ok || m.State == worker.MachineUp && read.Sub(e.since) > e.away+returnSlack {
 			delete(d.upkeep.ordered, id)
 		}
 	}
@@ -221,6 +218,7 @@
 			d.advanceWave(w, now)
 		}
 	}
+	d.rebalance(now)
 	d.wake()
 }
 
@@ -242,8 +240,8 @@
 	away, left := 0, 0
 	for _, id := range w.request.Machines {
 		m, exists := d.upkeep.machines[id]
-		_, ordered := d.upkeep.ordered[id]
-		if exists && (ordered || m.State == worker.MachineUpkeep) {
+		order, ordered := d.upkeep.ordered[id]
+		if exists && (ordered && order.to == "" || m.State == worker.MachineUpkeep) {
 			away++
 		}
 		if w.done[id] || !exists {
@@ -277,11 +275,7 @@
 		used[s.listing.Pool] += s.used.CPU
 		all[s.listing.Pool] += s.listing.Capacity.CPU
 	}
-	demands := map[pool.Name][]*schedule.Demand{}
-	for _, j := range d.open {
-		d.demands(j, now, demands)
-	}
-	for name, list := range demands {
+	for name, list := range d.waiting(now) {
 		for _, demand := range list {
 			used[name] += demand.Spec.Demand().CPU * int64(len(demand.Tasks))
 		}
@@ -362,13 +356,29 @@
 
 // order orders the maintenance of a machine.
 func (d *Dispatcher) order(w *waveState, id worker.MachineID, now time.Time) {
-	d.upkeep.ordered[id] = now
+	d.send(id, errand{since: now, away: d.bounds.Maintenance}, func(ctx context.Context) error {
+		return d.fleet.Maintain(ctx, id, w.request.Number, worker.Token(d.epoch))
+	}, func() {
+		d.counters.Maintained++
+		w.done[id] = true
+		d.log.Info(eventMaintain, "machine", id, "wave", w.request.Number, "done", len(w.done), "of", len(w.request.Machines))
+		d.storeWave(w)
+	})
+}
+
+// send gives an order for a machine until it has an answer. The platform answers a repeated order as it
+// answered the first one.
+func (d *Dispatcher) send(id worker.MachineID, e errand, call func(context.Context) error, confirmed func()) {
+	if d.upkeep.ordered == nil {
+		d.upkeep.ordered = map[worker.MachineID]errand{}
+	}
+	d.upkeep.ordered[id] = e
 	go func() {
 		for {
-			call, cancel := d.clock.WithTimeout(d.ctx, dutyTimeout)
-			err := d.fleet.Maintain(call, id, w.request.Number, worker.Token(d.epoch))
+			bound, cancel := d.clock.WithTimeout(d.ctx, dutyTimeout)
+			err := call(bound)
 			cancel()
-			if d.ctx.Err() != nil || d.maintained(w, id, err) {
+			if d.ctx.Err() != nil || d.answeredFor(id, e, err, confirmed) {
 				return
 			}
 			if d.clock.Sleep(d.ctx, machinePeriod) != nil {
@@ -378,26 +388,28 @@
 	}()
 }
 
-// maintained takes over the answer to an order. It reports whether the order need not be repeated.
-func (d *Dispatcher) maintained(w *waveState, id worker.MachineID, err error) bool {
+// answeredFor takes over the answer to an order for a machine. It reports whether the order need not be repeated.
+func (d *Dispatcher) answeredFor(id worker.MachineID, e errand, err error, confirmed func()) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err != nil {
-		d.log.Info(eventDuty, "machine", id, "wave", w.request.Number, "error", err)
-		if platform.IsRefused(err) {
-			delete(d.upkeep.ordered, id)
-			return true
+		d.log.Info(eventDuty, "machine", id, "to", e.to, "error", err)
+		if !platform.IsRefused(err) {
+			return false
 		}
-		return false
+		delete(d.upkeep.ordered, id)
+		if platform.IsInvalid(err) {
+			d.upkeep.unfit[id] = e.to
+		}
+		return true
 	}
-	d.counters.Maintained++
-	d.log.Info(eventMaintain, "machine", id, "wave", w.request.Number, "done", len(w.done)+1, "of", len(w.request.Machines))
-	d.upkeep.ordered[id] = d.clock.Now()
-	w.done[id] = true
-	d.storeWave(w)
+	now := d.clock.Now()
+	e.since = now
+	d.upkeep.ordered[id] = e
+	confirmed()
 	for _, s := range d.stations {
 		if s.listing.Machine == id {
-			d.over(s, d.clock.Now())
+			d.over(s, now)
 		}
 	}
 	return true
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -83,7 +83,8 @@
 	return l.store.Append(call, l.topic, Part, p, records)
 }
 
-// Write stores records, all or none, and calls done from another goroutine.
+// Write stores records, all or none, and calls done from another goroutine. Without records, done is called
+// once all earlier writes are stored.
 func (l *Ledger) Write(records []platform.Record, done Done) {
 	l.mu.Lock()
 	err := l.err
@@ -172,6 +173,10 @@
 	for _, w := range batch {
 		records = append(records, w.records...)
 	}
+	if len(records) == 0 {
+		l.settle(batch)
+		return nil
+	}
 	l.next++
 	for try := 1; ; try++ {
 		err := l.send(ctx, records)
@@ -193,6 +198,12 @@
 			return err
 		}
 	}
+	l.settle(batch)
+	return nil
+}
+
+// settle tells the outcome of a batch that is stored.
+func (l *Ledger) settle(batch []write) {
 	l.mu.Lock()
 	l.stalled = time.Time{}
 	l.mu.Unlock()
@@ -201,7 +212,6 @@
 			w.done(nil)
 		}
 	}
-	return nil
 }
 
 func (l *Ledger) close(batch []write, err error) error {
