dispatch: callers are told of an outcome once it is stored

Cause: the state of a job and the answer to a repeated cancel came from memory while the write waited for a store that was away; the next owner ran the job again.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -106,12 +106,18 @@
 	// intake is set once the job's intake was given to the ledger.
 	intake bool
 	dirty  bool
+	// writing is the number of writes of the job that the ledger has not confirmed.
+	writing int
 	// after is called with the outcome of the next write of the job.
 	after []func(error)
-	// held is the number of runs by step and worker.
+	// running is the number of runs that may be running.
 	running int
 }
 
+// durable reports whether the ledger has all that happened to the job. Callers are told of an outcome only
+// then, since a later owner knows of nothing else.
+func (j *job) durable() bool { return j.stored && !j.dirty && j.writing == 0 }
+
 // runID names a run.
 type runID struct {
 	key task.Key
--- a/dispatch/durable.go
+++ b/dispatch/durable.go
@@ -54,8 +54,10 @@
 	}
 	var records []platform.Record
 	var after []func(error)
-	for _, j := range d.dirty {
+	written := append([]*job(nil), d.dirty...)
+	for _, j := range written {
 		j.dirty = false
+		j.writing++
 		records = append(records, d.records(j)...)
 		after = append(after, j.after...)
 		j.after = nil
@@ -64,6 +66,11 @@
 	d.ledger.Write(records, func(err error) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		if err == nil {
+			for _, j := range written {
+				j.writing--
+			}
+		}
 		for _, f := range after {
 			f(err)
 		}
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -112,7 +112,7 @@
 		d.log.Info(eventCancel, "job", id, "running", j.running)
 		d.finish(j, task.StateCancelled, d.clock.Now())
 		d.settle(j)
-	} else if !j.dirty && j.stored {
+	} else if j.durable() {
 		return nil, &relay.Reply{Verdict: relay.Verdict_DONE}
 	}
 	return d.watchWrite(j), nil
@@ -129,7 +129,11 @@
 	if j == nil {
 		return &relay.Reply{Verdict: relay.Verdict_MISSING}
 	}
-	return &relay.Reply{Verdict: relay.Verdict_DONE, State: string(j.State())}
+	state := j.State()
+	if state.Final() && !j.durable() {
+		state = task.StateRunning
+	}
+	return &relay.Reply{Verdict: relay.Verdict_DONE, State: string(state)}
 }
 
 // Waiting returns the number of jobs of a queue of which no task has started.
--- a/ledger/error.go
+++ b/ledger/error.go
@@ -7,7 +7,10 @@
 	"hibiscuslane.example/hibiscuslane/failure"
 )
 
-var eventRepeat = event.Define(2600, "append.repeat", "the store did not take an append; it is repeated")
+var (
+	eventRepeat   = event.Define(2600, "append.repeat", "the store did not take an append; it is repeated")
+	eventExpected = event.Define(2601, "append.sequence", "the store expects another sequence number")
+)
 
 // UncertainError reports a write that was sent and may be stored.
 type UncertainError struct{ Cause error }
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -184,6 +184,7 @@
 			break
 		}
 		if expected, ok := platform.Expected(err); ok {
+			l.log.Info(eventExpected, "try", try, "sequence", l.next, "expected", expected)
 			if expected > l.next {
 				break // an earlier try was stored
 			}
