balance: arriving work by count of jobs; machines are back once their worker registers

Cause: one large job in the window looked like a burst and took machines from the pool whose burst came next; moved machines counted as away for half a second after their worker had registered; a machine with two registrations was taken for idle by the older one.

--- a/dispatch/balance.go
+++ b/dispatch/balance.go
@@ -10,51 +10,57 @@
 	"hibiscuslane.example/hibiscuslane/worker"
 )
 
-// rateWindow is the time over which arriving work is averaged. It is short against a burst of some seconds.
-const rateWindow = 700 * time.Millisecond
+const (
+	// rateWindow is the time over which arriving jobs are counted. It is short against a burst of some seconds.
+	rateWindow = 700 * time.Millisecond
+	// sizeRate is the weight of a new job in the mean work of a job. Sizes vary by an order of magnitude.
+	sizeRate = 0.05
+)
 
-// flow is the work that arrived at a pool lately.
+// flow is the work that arrives from one queue.
 type flow struct {
-	arrivals []arrival
-}
-
-type arrival struct {
-	at   time.Time
-	work float64 // thousandths of a core times seconds
+	arrivals []time.Time
+	// size is the moving average of the work of a job, in thousandths of a core times seconds.
+	size float64
 }
 
-// rate returns the work that arrives a second, and forgets what is older than the window.
+// rate returns the work that arrives a second. It counts jobs and takes their mean work, since the work of
+// the few jobs of a short window says little.
 func (f *flow) rate(now time.Time) float64 {
 	first := 0
-	for first < len(f.arrivals) && now.Sub(f.arrivals[first].at) > rateWindow {
+	for first < len(f.arrivals) && now.Sub(f.arrivals[first]) > rateWindow {
 		first++
 	}
 	f.arrivals = f.arrivals[first:]
-	var work float64
-	for _, a := range f.arrivals {
-		work += a.work
+	return float64(len(f.arrivals)) * f.size / rateWindow.Seconds()
+}
+
+// add notes a job with the given work.
+func (f *flow) add(now time.Time, work float64) {
+	f.arrivals = append(f.arrivals, now)
+	if f.size == 0 {
+		f.size = work
+		return
 	}
-	return work / rateWindow.Seconds()
+	f.size += sizeRate * (work - f.size)
 }
 
 // arrived notes the work of a job that runs at once.
 func (d *Dispatcher) arrived(j *job, now time.Time) {
-	if j.Spec.Repeat > 0 {
+	if j.Spec.Repeat > 0 || j.Spec.Lasting() {
 		return
 	}
 	var work float64
 	for i := range j.Spec.Steps {
 		step := &j.Spec.Steps[i]
-		if !step.Lasting {
-			work += float64(step.Count) * d.work(step)
-		}
+		work += float64(step.Count) * d.work(step)
 	}
-	f := d.flows[j.Pool]
+	f := d.flows[j.queue.Name]
 	if f == nil {
 		f = &flow{}
-		d.flows[j.Pool] = f
+		d.flows[j.queue.Name] = f
 	}
-	f.arrivals = append(f.arrivals, arrival{at: now, work: work})
+	f.add(now, work)
 }
 
 // work returns the work of one task in thousandths of a core times seconds.
@@ -71,19 +77,16 @@
 	var list []*balance.Pool
 	for _, p := range d.config.Pools() {
 		b := &balance.Pool{Name: p.Name, Spare: p.Spare}
-		if f := d.flows[p.Name]; f != nil {
-			b.Rate = f.rate(now)
-		}
 		pools[p.Name] = b
 		list = append(list, b)
 	}
-	d.backlog(pools, now)
-	stations := map[worker.MachineID]*station{}
-	for _, s := range d.stations {
-		if _, listed := d.listed[s.id]; listed {
-			stations[s.listing.Machine] = s
+	for name, f := range d.flows {
+		if q, ok := d.config.Queue(name); ok && pools[q.Pool] != nil {
+			pools[q.Pool].Rate += f.rate(now)
 		}
 	}
+	d.backlog(pools, now)
+	stations := d.living()
 	for _, m := range d.upkeep.machines {
 		d.describe(pools, m, stations[m.ID])
 	}
@@ -92,6 +95,18 @@
 	}
 }
 
+// living returns the worker that lives on each machine.
+func (d *Dispatcher) living() map[worker.MachineID]*station {
+	stations := map[worker.MachineID]*station{}
+	for _, s := range d.stations {
+		other := stations[s.listing.Machine]
+		if _, listed := d.listed[s.id]; listed && !s.ended && (other == nil || other.birth < s.birth) {
+			stations[s.listing.Machine] = s
+		}
+	}
+	return stations
+}
+
 // backlog adds the work that waits to the pools.
 func (d *Dispatcher) backlog(pools map[pool.Name]*balance.Pool, now time.Time) {
 	for name, list := range d.waiting(now) {
--- a/dispatch/discover.go
+++ b/dispatch/discover.go
@@ -9,7 +9,7 @@
 
 const (
 	// listPeriod is the time between reads of the registrations.
-	listPeriod = 250 * time.Millisecond
+	listPeriod = 150 * time.Millisecond
 	// readTimeout bounds a read of the store. It answers in 4 ms, and in about 0.4 s when it is slow.
 	readTimeout = 1200 * time.Millisecond
 	// registrations is the partition of the registrations.
@@ -105,6 +105,7 @@
 	s := d.stations[id]
 	if s == nil {
 		d.succeeded(l)
+		d.upkeep.back(l.Machine, l.Birth)
 		d.log.Info(eventWorker, "worker", id, "pool", l.Pool, "machine", l.Machine, "state", l.State, "offset", r.Offset)
 		d.admit(l)
 		d.wake()
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -79,7 +79,7 @@
 	runs     map[runID]*run
 	dirty    []*job
 	upkeep   upkeep
-	flows    map[pool.Name]*flow
+	flows    map[queue.Name]*flow
 	learned  map[string]*experience
 	counters Counters
 	// closing is set once no new work is taken.
@@ -145,7 +145,7 @@
 		store: o.Store, fleet: o.Fleet, clients: o.Clients, bounds: o.Bounds, clock: o.Clock, log: o.Log, epoch: gained.Epoch, foreign: foreign,
 		began: o.Clock.Now(), ctx: ctx, kick: make(chan struct{}, 1), config: o.Config,
 		jobs: map[task.JobID]*job{}, stations: map[worker.ID]*station{}, listed: map[worker.ID]worker.Listing{},
-		runs: map[runID]*run{}, flows: map[pool.Name]*flow{}, upkeep: upkeep{unfit: map[worker.MachineID]pool.Name{}}, learned: map[string]*experience{},
+		runs: map[runID]*run{}, flows: map[queue.Name]*flow{}, upkeep: upkeep{unfit: map[worker.MachineID]pool.Name{}}, learned: map[string]*experience{},
 	}
 }
 
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -145,7 +145,7 @@
 // usable reports whether a worker takes tasks.
 func (d *Dispatcher) usable(s *station, now time.Time) bool {
 	l, listed := d.listed[s.id]
-	return listed && l.State == worker.StateReady && s.fenced && s.lease.Known() && s.silent.IsZero() && !d.upkeep.busy(l.Machine)
+	return listed && !s.ended && l.State == worker.StateReady && s.fenced && s.lease.Known() && s.silent.IsZero() && !d.upkeep.busy(l.Machine)
 }
 
 // assign stores the place of a task and orders its start once it is stored.
--- a/dispatch/station.go
+++ b/dispatch/station.go
@@ -60,6 +60,8 @@
 	orders chan func(context.Context)
 	wakeup chan struct{}
 	cancel context.CancelFunc
+	// ended is set once an order for the machine has ended the life of the worker.
+	ended bool
 	// idle is when the last run ended.
 	idle time.Time
 	// leaving is set while the machine is to be emptied.
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -17,7 +17,7 @@
 const (
 	// machinePeriod is the time between reads of the list of machines. A burst lasts some seconds, so a few
 	// reads a second find it early enough; the platform allows 64 for all.
-	machinePeriod = 200 * time.Millisecond
+	machinePeriod = 120 * time.Millisecond
 	// duties bounds a call for machines.
 	dutyTimeout = 1500 * time.Millisecond
 	// waveKey begins the keys of the ledger under which the progress of waves is kept.
@@ -44,6 +44,8 @@
 	since time.Time
 	// away is how long it keeps the machine away.
 	away time.Duration
+	// birth is the start of the life that the order ends.
+	birth worker.Birth
 	// to is the pool that the machine moves to; empty for maintenance.
 	to pool.Name
 }
@@ -63,6 +65,13 @@
 	told, completed bool
 }
 
+// back notes that a worker has begun its life on a machine.
+func (u *upkeep) back(id worker.MachineID, birth worker.Birth) {
+	if e, ok := u.ordered[id]; ok && birth > e.birth {
+		delete(u.ordered, id)
+	}
+}
+
 // busy reports whether a machine is about to be away.
 func (u *upkeep) busy(id worker.MachineID) bool {
 	_, ok := u.ordered[id]
@@ -229,12 +238,7 @@
 		d.publish(w.request.Number, false)
 		d.storeWave(w)
 	}
-	stations := map[worker.MachineID]*station{}
-	for _, s := range d.stations {
-		if _, listed := d.listed[s.id]; listed {
-			stations[s.listing.Machine] = s
-		}
-	}
+	stations := d.living()
 	loads := d.loads(now)
 	var machines []wave.Machine
 	away, left := 0, 0
@@ -372,6 +376,9 @@
 	if d.upkeep.ordered == nil {
 		d.upkeep.ordered = map[worker.MachineID]errand{}
 	}
+	if s := d.living()[id]; s != nil {
+		e.birth = s.birth
+	}
 	d.upkeep.ordered[id] = e
 	go func() {
 		for {
@@ -405,10 +412,13 @@
 	}
 	now := d.clock.Now()
 	e.since = now
-	d.upkeep.ordered[id] = e
+	if _, away := d.upkeep.ordered[id]; away {
+		d.upkeep.ordered[id] = e
+	}
 	confirmed()
 	for _, s := range d.stations {
-		if s.listing.Machine == id {
+		if s.listing.Machine == id && s.birth <= e.birth {
+			s.ended = true
 			d.over(s, now)
 		}
 	}
