--- a/balance/balance.go
+++ b/balance/balance.go
@@ -35,7 +35,9 @@
 	Backlog float64
 	// Used is the capacity that tasks which end on their own have reserved, Lasting that of the others.
 	Used, Lasting int64
-	Machines      []Machine
+	// Least is the number of machines that the tasks of a step need which may not share one.
+	Least    int
+	Machines []Machine
 	// Arriving is the capacity of machines on their way to the pool.
 	Arriving int64
 }
@@ -79,7 +81,19 @@
 		return 0
 	}
 	work := math.Max(p.Rate, 0) + p.Backlog/s.Horizon.Seconds()
-	return float64(p.Lasting) + math.Max(work, float64(p.Used))
+	return math.Max(float64(p.Lasting)+math.Max(work, float64(p.Used)), float64(p.Least)*p.size())
+}
+
+// size returns the mean capacity of a machine of the pool.
+func (p *Pool) size() float64 {
+	if len(p.Machines) == 0 {
+		return 0
+	}
+	var total int64
+	for _, m := range p.Machines {
+		total += m.Cores
+	}
+	return float64(total) / float64(len(p.Machines))
 }
 
 // Plan returns the moves to order now.
@@ -141,7 +155,7 @@
 			kept++
 		}
 	}
-	if !p.Spare && kept <= s.Base {
+	if !p.Spare && kept <= max(s.Base, p.Least) {
 		return -1
 	}
 	for i, m := range p.Machines {
--- a/dispatch/balance.go
+++ b/dispatch/balance.go
@@ -86,6 +86,11 @@
 		}
 	}
 	d.backlog(pools, now)
+	for _, j := range d.open {
+		if b := pools[j.Pool]; b != nil {
+			b.Least = max(b.Least, least(j))
+		}
+	}
 	stations := d.living()
 	for _, m := range d.upkeep.machines {
 		d.describe(pools, m, stations[m.ID])
@@ -107,6 +112,18 @@
 	return stations
 }
 
+// least returns the number of workers that the lasting tasks of a job need.
+func least(j *job) int {
+	most := 0
+	for i := range j.Spec.Steps {
+		step := &j.Spec.Steps[i]
+		if step.Lasting && step.Spread > 0 {
+			most = max(most, (step.Count+step.Spread-1)/step.Spread)
+		}
+	}
+	return most
+}
+
 // backlog adds the work that waits to the pools.
 func (d *Dispatcher) backlog(pools map[pool.Name]*balance.Pool, now time.Time) {
 	for name, list := range d.waiting(now) {
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -20,6 +20,8 @@
 	machinePeriod = 120 * time.Millisecond
 	// duties bounds a call for machines.
 	dutyTimeout = 1500 * time.Millisecond
+	// settleTime is how long a task must have been at full speed before another of its step is taken away.
+	settleTime = 700 * time.Millisecond
 	// waveKey begins the keys of the ledger under which the progress of waves is kept.
 	waveKey = "wave/"
 	// returnSlack is how long after its maintenance a machine still counts as away while the list lags.
@@ -351,7 +353,7 @@
 func (d *Dispatcher) atWork(t *task.Task, key task.Key, now time.Time) bool {
 	for _, place := range t.Places {
 		other := d.runs[runID{key: key, run: place.Run}]
-		if other != nil && other.phase == phaseRunning && !other.seen.IsZero() && other.station != nil && other.station.silent.IsZero() {
+		if other != nil && other.phase == phaseRunning && !other.seen.IsZero() && now.Sub(other.seen) > settleTime && other.station != nil && other.station.silent.IsZero() {
 			return true
 		}
 	}
