--- /dev/null
+++ b/process/process_test.go
@@ -0,0 +1,243 @@
+package process_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/standin/fabric"
+)
+
+// TestJobs guards against a path that loses, repeats or reorders tasks on a calm day.
+func TestJobs(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk", "gate"}, "")
+	for range 3 {
+		w.AddMachine("desk", cores16, false)
+		w.AddMachine("gate", cores16, false)
+	}
+	first, second := w.start("entry-1"), w.start("entry-2")
+	for n := range 20 {
+		w.submit([]*entry{first, second}[n%2], "desk", jobID(n), job(3000, 60, 4, 3))
+	}
+	for n := range 20 {
+		w.awaitDone([]*entry{second, first}[n%2], "desk", jobID(n))
+	}
+	require.Equal(t, 1, w.Starts(jobID(3)+".0.1.2"))
+	status, body := w.call(first, http.MethodGet, "/desk/", "")
+	require.Equal(t, http.StatusOK, status)
+	require.JSONEq(t, `{"waiting":0}`, body)
+	require.Equal(t, "410 ", w.state(second, "desk", jobID(999)))
+	status, _ = w.call(first, http.MethodPost, "/other/"+jobID(1), job(1, 1, 1))
+	require.Equal(t, http.StatusNotFound, status)
+	status, _ = w.call(first, http.MethodPost, "/desk/"+jobID(1000), `{"steps":"none"}`)
+	require.Equal(t, http.StatusBadRequest, status)
+}
+
+// TestOwnerReplaced guards against jobs that are lost or run twice when the owner stops while tasks run.
+func TestOwnerReplaced(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	for range 4 {
+		w.AddMachine("desk", cores16, false)
+	}
+	first, second := w.start("entry-1"), w.start("entry-2")
+	for n := range 30 {
+		w.submit(second, "desk", jobID(n), job(4000, 150, 3, 2))
+	}
+	first.stop()
+	for n := range 30 {
+		w.awaitDone(second, "desk", jobID(n))
+	}
+}
+
+// TestOutcomeStored guards against callers that are told of an outcome which a later owner does not know:
+// the state of a job, and the answer to a repeated cancel, while the store is away.
+func TestOutcomeStored(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	w.AddMachine("desk", cores16, false)
+	e := w.start("entry-1")
+	w.submit(e, "desk", jobID(1), job(1000, 300, 1))
+	w.submit(e, "desk", jobID(2), job(1000, 20000, 1))
+	require.Eventually(t, func() bool { return w.Starts(jobID(1)+".0.0.0") == 1 && w.Starts(jobID(2)+".0.0.0") == 1 }, patience, poll)
+	w.Store.SetFaults(fabric.Faults{Busy: true})
+	time.Sleep(600 * time.Millisecond) // the task ends meanwhile; a longer pause changes nothing
+	require.Equal(t, `200 {"state":"running"}`, w.state(e, "desk", jobID(1)))
+	for range 2 {
+		status, _ := w.call(e, http.MethodDelete, "/desk/"+jobID(2), "")
+		require.NotEqual(t, http.StatusOK, status, "a cancel that is not stored must not be acknowledged")
+	}
+	w.Store.SetFaults(fabric.Faults{})
+	w.awaitDone(e, "desk", jobID(1))
+	require.Eventually(t, func() bool { return w.state(e, "desk", jobID(2)) == `200 {"state":"cancelled"}` }, patience, poll)
+}
+
+// TestStoreRefuses guards against jobs that wait for their deadline although the store is known to be away,
+// and against refused jobs that run all the same.
+func TestStoreRefuses(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	w.AddMachine("desk", cores16, false)
+	e := w.start("entry-1")
+	w.submit(e, "desk", jobID(1), job(1000, 50, 1))
+	w.awaitDone(e, "desk", jobID(1))
+	w.Store.SetFaults(fabric.Faults{Busy: true})
+	w.call(e, http.MethodPost, "/desk/"+jobID(2), job(1000, 50, 1)) // shows that the store is away
+	status, _ := w.call(e, http.MethodPost, "/desk/"+jobID(3), job(1000, 50, 1))
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	w.Store.SetFaults(fabric.Faults{})
+	w.awaitDone(e, "desk", jobID(2))
+	require.Zero(t, w.Starts(jobID(3)+".0.0.0"))
+}
+
+// TestLostAnswers guards against records that are stored twice or not at all when the store gives no
+// answer to an append.
+func TestLostAnswers(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	w.AddMachine("desk", cores16, false)
+	e := w.start("entry-1")
+	for n := range 10 {
+		w.Store.SetFaults(fabric.Faults{Lose: 1})
+		w.submit(e, "desk", jobID(n), job(1000, 50, 2, 1))
+	}
+	for n := range 10 {
+		w.awaitDone(e, "desk", jobID(n))
+	}
+}
+
+// TestWorkerReplaced guards against tasks that stay with a worker whose machine has begun another life,
+// and against two runs of a task when a worker only fell silent.
+func TestWorkerReplaced(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	machines := []string{w.AddMachine("desk", cores16, false), w.AddMachine("desk", cores16, false)}
+	e := w.start("entry-1")
+	for n := range 8 {
+		w.submit(e, "desk", jobID(n), job(4000, 800, 1))
+	}
+	require.Eventually(t, func() bool { return w.Starts(jobID(7)+".0.0.0") == 1 }, patience, poll)
+	begin := time.Now()
+	w.Crash(machines[0], 100*time.Millisecond)
+	for n := range 8 {
+		w.awaitDone(e, "desk", jobID(n))
+	}
+	// Leases last 3.5 s: the tasks were not kept until their end.
+	require.Less(t, time.Since(begin), 3*time.Second)
+	for _, worker := range w.Workers() {
+		worker.SetDark(true)
+	}
+	w.submit(e, "desk", jobID(100), job(4000, 100, 1))
+	time.Sleep(time.Second) // the order has no answer meanwhile; a longer pause changes nothing
+	for _, worker := range w.Workers() {
+		worker.SetDark(false)
+	}
+	w.awaitDone(e, "desk", jobID(100))
+}
+
+// TestLateOrders guards against a second run of a task whose order had no answer and was carried out late.
+func TestLateOrders(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	for range 2 {
+		w.AddMachine("desk", cores16, false)
+	}
+	e := w.start("entry-1")
+	for _, worker := range w.Workers() {
+		worker.DelayStarts(3, 1500*time.Millisecond)
+	}
+	for n := range 10 {
+		w.submit(e, "desk", jobID(n), job(6000, 200, 1))
+	}
+	for n := range 10 {
+		w.awaitDone(e, "desk", jobID(n))
+	}
+}
+
+// TestWave guards against waves that are late, that take too many machines at once or tasks along, and
+// against their state not being published.
+func TestWave(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	var machines []string
+	for range 6 {
+		machines = append(machines, w.AddMachine("desk", cores16, false))
+	}
+	e := w.start("entry-1")
+	for n := range 10 {
+		w.submit(e, "desk", jobID(n), job(4000, 300, 2))
+	}
+	w.RequestWave(1, machines[:4], 10, 2)
+	require.Eventually(t, func() bool {
+		return w.Store.Value("keyed.status", "wave/1") == `{"wave":1,"state":"completed"}`
+	}, patience, poll)
+	maintained := map[string]bool{}
+	for _, order := range w.Orders() {
+		if len(order) > 6 && order[:6] == "upkeep" {
+			maintained[order] = true
+		}
+	}
+	require.Len(t, maintained, 4)
+	for n := range 10 {
+		w.awaitDone(e, "desk", jobID(n))
+		require.Equal(t, 1, w.Starts(jobID(n)+".0.0.0"), "a task was taken along")
+	}
+}
+
+// TestMachinesFollow guards against a burst that waits for its own pool while others are idle.
+func TestMachinesFollow(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk", "gate"}, "spare")
+	for range 6 {
+		w.AddMachine("desk", cores16, false)
+		w.AddMachine("gate", cores16, false)
+	}
+	for range 4 {
+		w.AddMachine("spare", cores16, true)
+	}
+	e := w.start("entry-1")
+	for n := range 60 {
+		w.submit(e, "desk", jobID(n), job(8000, 700, 4))
+	}
+	require.Eventually(t, func() bool { return len(w.Orders()) >= 4 }, patience, poll, "no machine was moved")
+	for n := range 60 {
+		w.awaitDone(e, "desk", jobID(n))
+	}
+}
+
+// TestAllRestart guards against jobs that are lost when all entries end at once and the history of the
+// operator's records is gone.
+func TestAllRestart(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	for range 2 {
+		w.AddMachine("desk", cores16, false)
+	}
+	first, second := w.start("entry-1"), w.start("entry-2")
+	for n := range 10 {
+		w.submit(first, "desk", jobID(n), job(4000, 400, 2, 2))
+	}
+	first.stop()
+	second.stop()
+	<-first.done
+	<-second.done
+	w.Store.Forget("keyed.op")
+	w.Store.Forget("keyed.servers")
+	third := w.start("entry-3")
+	for n := range 10 {
+		w.awaitDone(third, "desk", jobID(n))
+	}
+}
--- /dev/null
+++ b/standin/fabric/world.go
@@ -0,0 +1,291 @@
+package fabric
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"time"
+)
+
+// World is a platform with its workers and machines. Close ends it.
+type World struct {
+	Store Store
+	// URL addresses of the services, without a scheme.
+	StoreAddress, FleetAddress string
+
+	mu         sync.Mutex
+	workers    map[string]*Worker // by machine
+	machines   map[string]string  // pool by machine
+	away       map[string]bool
+	serial     int
+	servers    []*httptest.Server
+	violations []string
+	running    map[string]string // worker by task
+	starts     map[string]int
+	noted      map[string]bool
+	orders     []string
+	quit       chan struct{}
+}
+
+const (
+	// awayTime is how long a machine is away for a move or maintenance.
+	awayTime = 150 * time.Millisecond
+	// checkPeriod is the time between checks of leases.
+	checkPeriod = 20 * time.Millisecond
+)
+
+// NewWorld starts a platform without workers.
+func NewWorld() *World {
+	w := &World{
+		workers: map[string]*Worker{}, machines: map[string]string{}, away: map[string]bool{}, running: map[string]string{},
+		starts: map[string]int{}, noted: map[string]bool{}, quit: make(chan struct{}),
+	}
+	w.StoreAddress = w.serve(&w.Store)
+	w.FleetAddress = w.serve(http.HandlerFunc(w.fleet))
+	w.Store.part("keyed.op", "0")
+	go w.check()
+	return w
+}
+
+func (w *World) serve(h http.Handler) string {
+	server := httptest.NewServer(h)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.servers = append(w.servers, server)
+	return strings.TrimPrefix(server.URL, "http://")
+}
+
+// Close ends the platform.
+func (w *World) Close() {
+	close(w.quit)
+	w.mu.Lock()
+	servers := w.servers
+	w.mu.Unlock()
+	for _, s := range servers {
+		s.CloseClientConnections()
+		s.Close()
+	}
+}
+
+func (w *World) check() {
+	for {
+		select {
+		case <-w.quit:
+			return
+		case <-time.After(checkPeriod):
+		}
+		for _, worker := range w.Workers() {
+			worker.lapse()
+		}
+	}
+}
+
+// Workers returns the living workers.
+func (w *World) Workers() []*Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var list []*Worker
+	for _, worker := range w.workers {
+		list = append(list, worker)
+	}
+	return list
+}
+
+// AddMachine adds a machine. A spare one is switched off.
+func (w *World) AddMachine(pool string, cpu int, spare bool) string {
+	w.mu.Lock()
+	w.serial++
+	id := fmt.Sprintf("m-%d", w.serial)
+	w.machines[id] = pool
+	w.mu.Unlock()
+	if !spare {
+		w.boot(id, pool, cpu)
+	}
+	return id
+}
+
+// boot begins a life of a worker on a machine.
+func (w *World) boot(machine, pool string, cpu int) *Worker {
+	w.mu.Lock()
+	w.serial++
+	worker := &Worker{
+		ID: fmt.Sprintf("i-%d", w.serial), Machine: machine, Pool: pool, CPU: cpu, world: w, born: time.Now(),
+		runs: map[string]*run{}, highest: map[string]int64{}, change: make(chan struct{}),
+	}
+	w.workers[machine] = worker
+	w.mu.Unlock()
+	worker.address = w.serve(worker)
+	w.Store.Put("keyed.servers", worker.ID, worker.entry())
+	return worker
+}
+
+// Crash ends the worker on a machine and begins another life there after d.
+func (w *World) Crash(machine string, d time.Duration) {
+	w.mu.Lock()
+	worker := w.workers[machine]
+	delete(w.workers, machine)
+	w.mu.Unlock()
+	worker.kill()
+	time.AfterFunc(d, func() {
+		w.Store.Put("keyed.servers", worker.ID, nil)
+		w.boot(machine, worker.Pool, worker.CPU)
+	})
+}
+
+// Publish puts a configuration in force: one queue for each pool, at host and path of the pool's name.
+func (w *World) Publish(version int, pools []string, spare string) {
+	routes, services := []map[string]any{}, []map[string]any{}
+	for _, p := range pools {
+		routes = append(routes, map[string]any{
+			"name": "q-" + p, "host": "callers", "path_prefix": "/" + p + "/", "type": "non_idempotent", "timeout_ms": 3000,
+			"target_latency_ms": 600, "priority": 0, "service": p, "max_attempts": 2, "stretch": 1.6,
+		})
+		services = append(services, map[string]any{"name": p, "enforces_capacity": false, "spare": false})
+	}
+	if spare != "" {
+		services = append(services, map[string]any{"name": spare, "spare": true})
+	}
+	data, err := json.Marshal(map[string]any{"version": version, "routes": routes, "services": services, "limits": map[string]int{"max_body_bytes": 262144}})
+	if err != nil {
+		w.violate("configuration cannot be encoded: %v", err)
+		return
+	}
+	w.Store.Put("keyed.op", "config", data)
+}
+
+// RequestWave publishes a wave of maintenance.
+func (w *World) RequestWave(number int, machines []string, seconds float64, most int) {
+	data, err := json.Marshal(map[string]any{"wave": number, "machines": machines, "duration_s": seconds, "maximum": most})
+	if err != nil {
+		w.violate("wave cannot be encoded: %v", err)
+		return
+	}
+	w.Store.Put("keyed.op", fmt.Sprintf("wave/%d", number), data)
+}
+
+func (w *World) fleet(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/api/machines" {
+		w.listMachines(rw)
+		return
+	}
+	var body struct {
+		Machine string `json:"machine"`
+		Pool    string `json:"pool"`
+		Wave    int    `json:"wave"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		rw.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	pool, ok := w.machines[body.Machine]
+	if !ok || w.away[body.Machine] {
+		w.mu.Unlock()
+		reply(rw, http.StatusConflict, map[string]string{"reason": "busy"})
+		return
+	}
+	to := pool
+	if strings.HasSuffix(r.URL.Path, "machine-move") {
+		to = body.Pool
+	}
+	w.machines[body.Machine] = to
+	w.away[body.Machine] = true
+	w.orders = append(w.orders, strings.TrimPrefix(r.URL.Path, "/api/machine-")+" "+body.Machine+" "+to)
+	worker := w.workers[body.Machine]
+	delete(w.workers, body.Machine)
+	w.mu.Unlock()
+	cpu := 16000
+	if worker != nil {
+		cpu = worker.CPU
+		worker.kill()
+		w.Store.Put("keyed.servers", worker.ID, nil)
+	}
+	time.AfterFunc(awayTime, func() {
+		w.mu.Lock()
+		delete(w.away, body.Machine)
+		w.mu.Unlock()
+		if to != "spare" {
+			w.boot(body.Machine, to, cpu)
+		}
+	})
+	rw.WriteHeader(http.StatusOK)
+}
+
+func (w *World) listMachines(rw http.ResponseWriter) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	list := []map[string]any{}
+	for id, pool := range w.machines {
+		state := "up"
+		if w.away[id] {
+			state = "moving"
+		}
+		list = append(list, map[string]any{
+			"machine": id, "pool": pool, "state": state, "zone": "z1", "labels": []string{"a", "r1-1"},
+			"capacity": map[string]int{"cpu": 16000, "mem_mb": 65536},
+		})
+	}
+	reply(rw, http.StatusOK, map[string]any{"machines": list, "next_page_token": nil})
+}
+
+// Orders returns the orders for machines that were carried out: verb, machine and pool.
+func (w *World) Orders() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.orders...)
+}
+
+func (w *World) violate(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.violations = append(w.violations, fmt.Sprintf(format, args...))
+}
+
+// Violations returns what must never happen and did.
+func (w *World) Violations() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.violations...)
+}
+
+// Starts returns how often a task was started.
+func (w *World) Starts(task string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.starts[task]
+}
+
+// begin notes a start and returns what the task does.
+func (w *World) begin(worker *Worker, task, spec string) (cpu int, length time.Duration, fails bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if other := w.running[task]; other != "" {
+		w.violations = append(w.violations, "two runs of "+task+" at once: "+other+" and "+worker.ID)
+	}
+	if w.noted[task] {
+		w.violations = append(w.violations, "start of "+task+" after its end was noted")
+	}
+	w.running[task] = worker.ID
+	w.starts[task]++
+	return parseSpec(spec)
+}
+
+func (w *World) finish(worker *Worker, task, _ string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.running[task] == worker.ID {
+		delete(w.running, task)
+	}
+}
+
+// note records that an end was acknowledged.
+func (w *World) note(task, how string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if how == "done" {
+		w.noted[task] = true
+	}
+}
--- /dev/null
+++ b/task/record_test.go
@@ -0,0 +1,90 @@
+package task_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"hibiscuslane.example/hibiscuslane/task"
+)
+
+func draw(t *rapid.T) *task.Job {
+	var spec task.Spec
+	for i := range rapid.IntRange(1, 3).Draw(t, "steps") {
+		step := task.Step{Count: rapid.IntRange(1, 20).Draw(t, "count"), Room: task.Room{CPU: 100}, Estimate: time.Second}
+		if i > 0 {
+			step.After = []int{i - 1}
+		}
+		spec.Steps = append(spec.Steps, step)
+	}
+	spec.Repeat = rapid.IntRange(0, 3).Draw(t, "repeat")
+	j := task.New("00000000000000aa", "queue", "pool", spec, time.UnixMilli(1000))
+	for k := range spec.Occurrences() {
+		for i, step := range spec.Steps {
+			for n := range step.Count {
+				key := task.Key{Job: j.ID, Occurrence: k, Step: i, Task: n}
+				switch rapid.IntRange(0, 3).Draw(t, "fate") {
+				case 0:
+					j.Finish(key, time.UnixMilli(2000))
+				case 1:
+					j.Task(key).Places = []task.Place{{Worker: "w", Birth: 5, Machine: "m", Run: task.RunNumber(1000 + n)}}
+				case 2:
+					j.Task(key).Attempts = 1
+					j.Task(key).Saved = "x"
+					j.Task(key).Blamed = []string{"w"}
+				}
+			}
+		}
+	}
+	return j
+}
+
+// TestRestore guards against progress that a new owner loses: a task that is done and runs again, a run
+// that nobody knows of, attempts that start anew.
+func TestRestore(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		j := draw(t)
+		intake, err := j.Intake()
+		require.NoError(t, err)
+		progress, err := j.Progress()
+		require.NoError(t, err)
+		if j.Outcome != "" {
+			ended, err := task.ParseEnded(j.ID, progress)
+			require.NoError(t, err)
+			require.Equal(t, j.Outcome, ended.Outcome)
+			return
+		}
+		restored, err := task.ParseIntake(j.ID, intake)
+		require.NoError(t, err)
+		require.NoError(t, restored.Restore(progress))
+		require.Equal(t, j.Left, restored.Left)
+		for k := range j.Spec.Occurrences() {
+			for i, step := range j.Spec.Steps {
+				for n := range step.Count {
+					key := task.Key{Job: j.ID, Occurrence: k, Step: i, Task: n}
+					want, got := j.Task(key), restored.Task(key)
+					require.Equal(t, want.Done, got.Done)
+					if !want.Done {
+						require.Equal(t, want.Places, got.Places)
+						require.Equal(t, want.Attempts, got.Attempts)
+						require.Equal(t, want.Saved, got.Saved)
+					}
+				}
+			}
+		}
+	})
+}
+
+// TestKey guards against names of tasks that do not survive the way to a worker and back.
+func TestKey(t *testing.T) {
+	key := task.Key{Job: "00000000000000aa", Occurrence: 2, Step: 1, Task: 17}
+	parsed, ok := task.ParseKey(key.String())
+	require.True(t, ok)
+	require.Equal(t, key, parsed)
+	for _, text := range []string{"", "a.b.c", "a.1.2", "a.1.2.-3", "a.1.2.x", "a.1.2.3.4"} {
+		_, ok := task.ParseKey(text)
+		require.False(t, ok, text)
+	}
+}
