--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -220,10 +220,11 @@
 			delete(d.upkeep.ordered, id)
 		}
 	}
+	now := d.clock.Now()
 	for _, s := range d.stations {
 		s.leaving = false
+		d.away(s, read, now)
 	}
-	now := d.clock.Now()
 	for _, w := range d.upkeep.waves {
 		if !w.completed && !w.began.IsZero() {
 			d.advanceWave(w, now)
@@ -233,6 +234,21 @@
 	d.wake()
 }
 
+// away ends the life of a worker whose machine the list shows as away. The answer to an order does not say
+// so, because an order that had been carried out earlier is confirmed as well.
+func (d *Dispatcher) away(s *station, read, now time.Time) {
+	id := s.listing.Machine
+	e, ordered := d.upkeep.ordered[id]
+	state := d.upkeep.machines[id].State
+	if !ordered || s.ended || s.birth > e.birth || read.Before(e.since) {
+		return
+	}
+	if state == worker.MachineMoving || state == worker.MachineUpkeep {
+		s.ended = true
+		d.over(s, now)
+	}
+}
+
 // advanceWave takes the next steps of a wave.
 func (d *Dispatcher) advanceWave(w *waveState, now time.Time) {
 	if !w.told {
@@ -418,12 +434,6 @@
 		d.upkeep.ordered[id] = e
 	}
 	confirmed()
-	for _, s := range d.stations {
-		if s.listing.Machine == id && s.birth <= e.birth {
-			s.ended = true
-			d.over(s, now)
-		}
-	}
 	return true
 }
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -93,7 +93,9 @@
 	}
 	l.mu.Unlock()
 	if err != nil {
-		go done(err)
+		if done != nil {
+			go done(&ClosedError{Cause: err})
+		}
 		return
 	}
 	select {
--- a/process/process.go
+++ b/process/process.go
@@ -180,9 +180,10 @@
 	go func() {
 		err := d.Run()
 		p.log.Info(eventEnded, "epoch", epoch, "error", err)
-		if ctx.Err() == nil {
+		if p.dispatcher() == d {
 			p.keeper.Resign("fenced")
 		}
+		cancel()
 	}()
 }
 
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,7 +76,11 @@
 	}
 	w.Store.SetFaults(fabric.Faults{})
 	w.awaitDone(e, "desk", jobID(1))
-	require.Eventually(t, func() bool { return w.state(e, "desk", jobID(2)) == `200 {"state":"cancelled"}` }, patience, poll)
+	require.Eventually(t, func() bool {
+		status, _ := w.call(e, http.MethodDelete, "/desk/"+jobID(2), "")
+		return status == http.StatusOK
+	}, patience, poll)
+	require.Equal(t, `200 {"state":"cancelled"}`, w.state(e, "desk", jobID(2)))
 }
 
 // TestStoreRefuses guards against jobs that wait for their deadline although the store is known to be away,
@@ -241,3 +246,30 @@
 		w.awaitDone(third, "desk", jobID(n))
 	}
 }
+
+// TestMaintainedBefore guards against tasks that run twice because the platform confirms an order for
+// maintenance that an earlier owner's order has carried out: the worker of the machine lives on.
+func TestMaintainedBefore(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	machine := w.AddMachine("desk", cores16, false)
+	w.AddMachine("desk", cores16, false)
+	resp, err := http.Post("http://"+w.FleetAddress+"/api/machine-upkeep", "application/json", strings.NewReader(`{"machine":"`+machine+`","wave":1}`))
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	e := w.start("entry-1")
+	require.Eventually(t, func() bool { return len(w.Workers()) == 2 }, patience, poll)
+	for n := range 6 {
+		w.submit(e, "desk", jobID(n), job(5000, 7000, 1))
+	}
+	require.Eventually(t, func() bool { return w.Starts(jobID(5)+".0.0.0") == 1 }, patience, poll)
+	w.RequestWave(1, []string{machine}, 3, 1)
+	require.Eventually(t, func() bool {
+		return w.Store.Value("keyed.status", "wave/1") == `{"wave":1,"state":"completed"}`
+	}, patience, poll)
+	for n := range 6 {
+		w.awaitDone(e, "desk", jobID(n))
+		require.Equal(t, 1, w.Starts(jobID(n)+".0.0.0"))
+	}
+}
--- a/standin/fabric/world.go
+++ b/standin/fabric/world.go
@@ -187,6 +187,13 @@
 		reply(rw, http.StatusConflict, map[string]string{"reason": "busy"})
 		return
 	}
+	if done := r.URL.Path + body.Machine; strings.HasSuffix(r.URL.Path, "machine-upkeep") && w.noted[done] {
+		w.mu.Unlock()
+		rw.WriteHeader(http.StatusOK)
+		return
+	} else if strings.HasSuffix(r.URL.Path, "machine-upkeep") {
+		w.noted[done] = true
+	}
 	to := pool
 	if strings.HasSuffix(r.URL.Path, "machine-move") {
 		to = body.Pool
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -86,8 +86,8 @@
 	// Changed is called for each change of the ownership, in order and not concurrently.
 	Changed func(Change)
 
-	// step serializes changes of the ownership.
-	step sync.Mutex
+	// claiming serializes claims, step changes of the ownership.
+	claiming, step sync.Mutex
 
 	mu sync.Mutex
 	// epoch is the token of the tenure of this process; zero while it is not the owner.
@@ -213,6 +213,14 @@
 
 // claim makes this process the owner unless a claim of another member stands.
 func (k *Keeper) claim(ctx context.Context, t takeover) {
+	k.claiming.Lock()
+	defer k.claiming.Unlock()
+	k.mu.Lock()
+	held := k.epoch != 0
+	k.mu.Unlock()
+	if held {
+		return // a claim of another goroutine of this process has won meanwhile
+	}
 	call, cancel := k.Clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := k.Clock.Now()
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -188,3 +188,15 @@
 	await(t, clock, "no new owner", func() bool { return b.epoch() != 0 })
 	require.Equal(t, tenure.Gained{Epoch: 3, Clean: true}, b.changes[0])
 }
+
+// TestClaimWhileOwner guards against a second claim by a process that has become the owner while it found
+// out that the earlier owner is gone: the work of the first tenure would go on beside the second.
+func TestClaimWhileOwner(t *testing.T) {
+	clock := timer.NewManual(time.UnixMilli(0))
+	k := start(t, &store{}, clock, "a:1/x")
+	await(t, clock, "not owner", func() bool { return k.epoch() != 0 })
+	k.Replace(t.Context(), "b:1/x", true, "test")
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	require.Len(t, k.changes, 1)
+}
