--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -92,11 +92,26 @@
 	Waiting, Orders *http.Client
 }
 
-// Counters count what the owner did.
+// Counters count what the owner knows now and what it did in its tenure.
 type Counters struct {
+	Open, Runs, Workers, Reached                                                 int64
 	Accepted, Started, Done, Failed, Lapsed, Doubted, Refused, Moved, Maintained int64
 }
 
+// Counters returns the counters of the tenure.
+func (d *Dispatcher) Counters() Counters {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c := d.counters
+	c.Open, c.Runs, c.Workers = int64(len(d.open)), int64(len(d.runs)), int64(len(d.stations))
+	for _, s := range d.stations {
+		if s.fenced && s.silent.IsZero() {
+			c.Reached++
+		}
+	}
+	return c
+}
+
 // job is a job with what only this tenure knows.
 type job struct {
 	*task.Job
@@ -231,6 +246,14 @@
 	}
 }
 
+// settleTenure is the age from which a tenure may be handed over without need.
+const settleTenure = 2 * time.Second
+
+// Settled reports whether the tenure may be handed over without need.
+func (d *Dispatcher) Settled() bool {
+	return d.Loaded() && d.clock.Since(d.began) > settleTenure
+}
+
 // wake asks for a cycle.
 func (d *Dispatcher) wake() {
 	select {
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -168,7 +168,7 @@
 	d.runs[r.id] = r
 	s.hold(r)
 	j.running++
-	d.log.Debug(eventPlace, "task", key, "run", r.id.run, "worker", s.id, "free", s.listing.Capacity.Sub(s.used).CPU, "priority", j.queue.Priority)
+	d.log.Info(eventPlace, "task", key.String(), "run", r.id.run, "worker", s.id, "free", s.listing.Capacity.Sub(s.used).CPU, "priority", j.queue.Priority)
 	d.mark(j, func(err error) {
 		if err != nil {
 			return // the tenure is over
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -128,14 +128,14 @@
 	refusal, refused := platform.Refusal(err)
 	if !refused {
 		d.counters.Doubted++
-		d.log.Info(eventDoubt, "task", r.id.key, "run", r.id.run, "worker", s.id, "error", err)
+		d.log.Info(eventDoubt, "task", r.id.key.String(), "run", r.id.run, "worker", s.id, "error", err)
 		r.phase = phaseDoubt
 		s.suspect = now.Add(suspectTime)
 		s.poke()
 		return
 	}
 	d.counters.Refused++
-	d.log.Info(eventRefused, "task", r.id.key, "run", r.id.run, "worker", s.id, "reason", refusal)
+	d.log.Info(eventRefused, "task", r.id.key.String(), "run", r.id.run, "worker", s.id, "reason", refusal)
 	if refusal == worker.RefusedReborn {
 		d.over(s, now)
 		return
@@ -241,7 +241,7 @@
 		d.mu.Lock()
 		defer d.mu.Unlock()
 		if err != nil {
-			d.log.Info(eventStop, "task", r.id.key, "run", r.id.run, "worker", s.id, "error", err)
+			d.log.Info(eventStop, "task", r.id.key.String(), "run", r.id.run, "worker", s.id, "error", err)
 			return
 		}
 		r.voided = d.clock.Now()
@@ -272,7 +272,7 @@
 		return
 	}
 	d.counters.Lapsed++
-	d.log.Info(eventVanished, "task", r.id.key, "run", r.id.run, "worker", r.worker, "phase", r.phase, "cause", cause)
+	d.log.Info(eventVanished, "task", r.id.key.String(), "run", r.id.run, "worker", r.worker, "phase", r.phase, "cause", cause)
 	d.ended(r, cause, "", now)
 }
 
@@ -290,7 +290,7 @@
 	if j.Outcome != "" {
 		return
 	}
-	d.log.Debug(eventEnd, "task", r.id.key, "run", r.id.run, "worker", r.worker, "cause", cause)
+	d.log.Info(eventEnd, "task", r.id.key.String(), "run", r.id.run, "worker", r.worker, "cause", cause)
 	switch cause {
 	case worker.CauseDone:
 		d.finished(r, now)
@@ -408,7 +408,7 @@
 
 // strayEnd handles an end of a run that the owner does not know.
 func (d *Dispatcher) strayEnd(s *station, end worker.End, first bool) {
-	d.log.Debug(eventStrayEnd, "worker", s.id, "task", end.Key, "run", end.Run, "cause", end.Cause, "first", first)
+	d.log.Debug(eventStrayEnd, "worker", s.id, "task", end.Key.String(), "run", end.Run, "cause", end.Cause, "first", first)
 }
 
 const (
--- a/dispatch/station.go
+++ b/dispatch/station.go
@@ -310,10 +310,10 @@
 
 // stray stops a run that the owner does not know.
 func (d *Dispatcher) stray(s *station, id runID) {
-	d.log.Info(eventStray, "worker", s.id, "task", id.key, "run", id.run)
+	d.log.Info(eventStray, "worker", s.id, "task", id.key.String(), "run", id.run)
 	s.order(func(ctx context.Context) {
 		if err := s.caller.Stop(ctx, id.key, id.run, worker.Token(d.epoch)); err != nil {
-			d.log.Debug(eventStop, "worker", s.id, "task", id.key, "run", id.run, "error", err)
+			d.log.Debug(eventStop, "worker", s.id, "task", id.key.String(), "run", id.run, "error", err)
 		}
 	})
 }
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -340,7 +340,7 @@
 	s.leaving = true
 	for _, r := range s.runs {
 		if r.step.Lasting && r.phase == phaseRunning && d.spared(r, now) {
-			d.log.Info(eventEvict, "task", r.id.key, "run", r.id.run, "worker", s.id, "machine", id, "wave", w.request.Number)
+			d.log.Info(eventEvict, "task", r.id.key.String(), "run", r.id.run, "worker", s.id, "machine", id, "wave", w.request.Number)
 			d.stop(r, now)
 		}
 	}
--- a/process/peers.go
+++ b/process/peers.go
@@ -24,12 +24,25 @@
 	ownerSilence = 1200 * time.Millisecond
 	// storeSilence is how long the store may be silent before an owner gives way to a peer that reaches it.
 	storeSilence = 1300 * time.Millisecond
+	// betterCores is how many times the processor of the owner a peer must have to take over. A change of the
+	// owner costs some 100 ms of placing.
+	betterCores = 1.5
+	millicores  = 1000
+	// fullCores is the processor with which a process claims a vacant ownership at once; handicap is how long
+	// one with none would leave it to others.
+	fullCores = 0.8
+	handicap  = 600 * time.Millisecond
 	// witnesses is the number of other members that are asked before the owner is replaced.
 	witnesses = 3
 	// ownerRetry is the time after which a caller may try again while there is no owner.
 	ownerRetry = time.Second
 )
 
+// handicapOf returns how long a process with the given processor leaves a vacant ownership to others.
+func handicapOf(cores float64) time.Duration {
+	return time.Duration(max(0, 1-cores/fullCores) * float64(handicap))
+}
+
 // server answers peers.
 type server struct{ process *Process }
 
@@ -84,6 +97,10 @@
 		p.keeper.Resign("a peer reaches the store, this process does not")
 		notice.Release = true
 	}
+	if sign.Store && d.Settled() && float64(sign.Cores) > betterCores*millicores*p.settings.Cores {
+		p.keeper.Resign("a peer on a larger instance takes over")
+		notice.Release = true
+	}
 	return notice, nil
 }
 
@@ -181,7 +198,7 @@
 	call, cancel := p.clock.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	_, offset := p.follower.Document()
-	return p.peer(to).Beat(call, &relay.Sign{Member: string(p.keeper.Member), Config: int64(offset), Store: p.follower.Fresh()})
+	return p.peer(to).Beat(call, &relay.Sign{Member: string(p.keeper.Member), Config: int64(offset), Store: p.follower.Fresh(), Cores: int64(millicores * p.settings.Cores)})
 }
 
 // heard notes that the owner lives.
@@ -206,7 +223,7 @@
 		p.keeper.Replace(ctx, owner, true, "it does not reach the store")
 	case err == nil:
 		p.keeper.Forget(owner) // the store names the owner
-	case errors.Is(err, syscall.ECONNREFUSED) || silence > ownerSilence:
+	case errors.Is(err, syscall.ECONNREFUSED) && silence >= p.keeper.Handicap || silence > ownerSilence+p.keeper.Handicap:
 		if p.confirmed(ctx, owner) {
 			p.keeper.Replace(ctx, owner, false, "it does not answer: "+err.Error())
 		}
--- a/process/process.go
+++ b/process/process.go
@@ -77,7 +77,7 @@
 		signs:   map[tenure.Member]time.Time{},
 	}
 	p.follower = &operator.Follower{Store: p.store, Clock: clock, Log: log, Changed: p.changed}
-	p.keeper = &tenure.Keeper{Store: p.store, Member: tenure.NewMember(s.Peers, clock.Now()), Clock: clock, Log: log, Changed: p.tenure}
+	p.keeper = &tenure.Keeper{Store: p.store, Member: tenure.NewMember(s.Peers, clock.Now()), Clock: clock, Log: log, Changed: p.tenure, Handicap: handicapOf(s.Cores)}
 	p.handler = &ingress.Handler{Config: p.follower.Config, Forward: p, Clock: clock, Log: log}
 	return p
 }
@@ -87,7 +87,11 @@
 	p.log.Info(eventStart, "member", p.keeper.Member, "centre", p.settings.Centre, "store", p.settings.Store)
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	front := &http.Server{Handler: p.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	set, err := p.measure()
+	if err != nil {
+		return err
+	}
+	front := &http.Server{Handler: set.Count(p.handler, p.clock), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	inner := &http.Server{Handler: p.internal(), ReadHeaderTimeout: headerTimeout}
 	ready := &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 1)
@@ -99,6 +103,7 @@
 			return err
 		}
 	}
+	p.serveMetrics(ctx, set)
 	membership, leave := context.WithCancel(work)
 	var left sync.WaitGroup
 	left.Go(func() { p.keeper.Run(membership) })
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -15,6 +15,8 @@
 	Callers, Ready, Peers instance.Address
 	// Store, Fleet and Advisor are the services of the platform. Advisor may be empty.
 	Store, Fleet, Advisor instance.Address
+	// Cores is the share of a core that the process may use, in cores.
+	Cores float64
 	// Heartbeat is the time between two registrations of a worker.
 	Heartbeat time.Duration
 	Contract  Contract
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -83,6 +83,9 @@
 	Member Member
 	Clock  *timer.Service
 	Log    event.Log
+	// Handicap is how long this process leaves a vacant ownership to others. Processes on larger instances
+	// have a lower one.
+	Handicap time.Duration
 	// Changed is called for each change of the ownership, in order and not concurrently.
 	Changed func(Change)
 
@@ -97,6 +100,8 @@
 	// confirmed is when the last look was sent that the store has answered.
 	confirmed time.Time
 	owner     Member
+	// vacant is when this process found that there is no owner; zero while there is one.
+	vacant time.Time
 	// closed is set once this process takes no more part.
 	closed bool
 }
@@ -114,6 +119,7 @@
 	defer k.mu.Unlock()
 	if k.epoch == 0 && owner != k.Member {
 		k.owner = owner
+		k.vacant = time.Time{}
 	}
 }
 
@@ -232,8 +238,16 @@
 		return
 	}
 	k.heard(sent)
+	if newest.member != "" && newest.member != k.Member && newest.member != t.instead {
+		k.Learn(newest.member)
+		return
+	}
 	k.mu.Lock()
 	closed, last := k.closed, k.last
+	if k.vacant.IsZero() {
+		k.vacant = sent
+	}
+	early := k.Clock.Since(k.vacant) < k.Handicap
 	k.mu.Unlock()
 	if closed {
 		return
@@ -242,8 +256,7 @@
 		k.apply(Gained{Epoch: newest.epoch()}) // a claim whose answer was lost
 		return
 	}
-	if newest.member != "" && newest.member != t.instead && newest.member != k.Member {
-		k.Learn(newest.member)
+	if early && t.instead == "" {
 		return
 	}
 	clean := newest.member == "" || newest.member == k.Member || t.clean
@@ -293,6 +306,7 @@
 		}
 		k.epoch, k.last = c.Epoch, c.Epoch
 		k.owner = k.Member
+		k.vacant = time.Time{}
 	case Lost:
 		if k.epoch == 0 {
 			k.mu.Unlock()
