--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -56,6 +56,7 @@
 type Dispatcher struct {
 	store   *platform.Store
 	fleet   *platform.Fleet
+	advisor *platform.Advisor
 	clients Clients
 	bounds  Bounds
 	clock   *timer.Service
@@ -68,6 +69,8 @@
 	foreign time.Duration
 	ctx     context.Context
 	kick    chan struct{}
+	// questions wait for the advice service.
+	questions chan question
 
 	mu       sync.Mutex
 	ledger   *ledger.Ledger // nil until the stored jobs are loaded
@@ -80,6 +83,7 @@
 	dirty    []*job
 	upkeep   upkeep
 	flows    map[queue.Name]*flow
+	advices  map[string]*advice
 	learned  map[string]*experience
 	counters Counters
 	// closing is set once no new work is taken.
@@ -143,6 +147,7 @@
 type Options struct {
 	Store   *platform.Store
 	Fleet   *platform.Fleet
+	Advisor *platform.Advisor
 	Clients Clients
 	Bounds  Bounds
 	Clock   *timer.Service
@@ -157,10 +162,10 @@
 		foreign += tenure.TTL
 	}
 	return &Dispatcher{
-		store: o.Store, fleet: o.Fleet, clients: o.Clients, bounds: o.Bounds, clock: o.Clock, log: o.Log, epoch: gained.Epoch, foreign: foreign,
+		store: o.Store, fleet: o.Fleet, advisor: o.Advisor, clients: o.Clients, bounds: o.Bounds, clock: o.Clock, log: o.Log, epoch: gained.Epoch, foreign: foreign,
 		began: o.Clock.Now(), ctx: ctx, kick: make(chan struct{}, 1), config: o.Config,
 		jobs: map[task.JobID]*job{}, stations: map[worker.ID]*station{}, listed: map[worker.ID]worker.Listing{},
-		runs: map[runID]*run{}, flows: map[queue.Name]*flow{}, upkeep: upkeep{unfit: map[worker.MachineID]pool.Name{}}, learned: map[string]*experience{},
+		runs: map[runID]*run{}, flows: map[queue.Name]*flow{}, advices: map[string]*advice{}, questions: make(chan question, maxQuestions), upkeep: upkeep{unfit: map[worker.MachineID]pool.Name{}}, learned: map[string]*experience{},
 	}
 }
 
@@ -172,6 +177,7 @@
 	}
 	go d.follow()
 	go d.maintain()
+	go d.consult()
 	go d.cycles()
 	return written.Run(d.ctx)
 }
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -37,5 +37,8 @@
 	eventMove        = event.Define(2534, "machine.moved", "the move of a machine was ordered")
 	eventDuty        = event.Define(2535, "machine.refused", "an order for a machine was not confirmed")
 	eventEvict       = event.Define(2536, "task.evicted", "a task is stopped so that its machine can be maintained")
+	eventUnpaced     = event.Define(2538, "pace.failed", "an order to change the share of a task had no effect; it is repeated")
+	eventAdvice      = event.Define(2539, "advice.failed", "the advice service gave no answer; it is asked again")
+	eventAdvised     = event.Define(2540, "advice.given", "the advice service named the workers that may run a step")
 	eventPace        = event.Define(2537, "task.paced", "a task that fills was given another share of full speed")
 )
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strings"
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/pool"
@@ -70,7 +71,7 @@
 	for i := range progress.Tasks {
 		t := &progress.Tasks[i]
 		if len(t.Places) > 0 {
-			d.count(demand, j, task.Key{Job: j.ID, Occurrence: k, Step: step, Task: i}, t)
+			d.count(demand, t)
 			continue
 		}
 		if t.Done || now.Before(t.Since) {
@@ -87,12 +88,15 @@
 	if len(demand.Tasks) == 0 || spec.Gang && len(demand.Tasks) < spec.Count {
 		return nil
 	}
+	if j.queue.Advised {
+		d.advise(demand, j, stepName(task.Key{Job: j.ID, Occurrence: k, Step: step}), now)
+	}
 	d.objective(j, k, pass, demand)
 	return demand
 }
 
 // count adds the runs of a task to those that the step has on each worker.
-func (d *Dispatcher) count(demand *schedule.Demand, j *job, key task.Key, t *task.Task) {
+func (d *Dispatcher) count(demand *schedule.Demand, t *task.Task) {
 	if demand.Held == nil {
 		demand.Held = map[worker.ID]int{}
 		demand.Racks = map[string]int{}
@@ -122,7 +126,7 @@
 func (d *Dispatcher) workers(name pool.Name, now time.Time) []*schedule.Worker {
 	var list []*schedule.Worker
 	for _, s := range d.stations {
-		if s.listing.Pool != name || !d.usable(s, now) {
+		if s.listing.Pool != name || !d.usable(s) {
 			continue
 		}
 		w := &schedule.Worker{
@@ -143,7 +147,7 @@
 }
 
 // usable reports whether a worker takes tasks.
-func (d *Dispatcher) usable(s *station, now time.Time) bool {
+func (d *Dispatcher) usable(s *station) bool {
 	l, listed := d.listed[s.id]
 	return listed && !s.ended && l.State == worker.StateReady && s.fenced && s.lease.Known() && s.silent.IsZero() && !d.upkeep.busy(l.Machine)
 }
@@ -177,6 +181,12 @@
 	})
 }
 
+// stepName returns the name of a step in questions to the advice service.
+func stepName(key task.Key) string {
+	name := key.String()
+	return name[:strings.LastIndexByte(name, '.')]
+}
+
 // gangRun returns the run number of a gang: the same for all members.
 func (d *Dispatcher) gangRun(j *job, key task.Key) task.RunNumber {
 	number := d.firstRun()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -53,7 +53,6 @@
 	// percent is the share of full speed that was ordered, reading the last measurement of the worker.
 	percent int
 	reading float64
-	over    time.Time
 	// seen is when the worker last listed the run at full speed.
 	seen time.Time
 }
@@ -105,6 +104,7 @@
 	order := worker.StartOrder{
 		Key: r.id.key, Run: r.id.run, Text: r.job.Spec.Text, Saved: r.task().Saved,
 		Deadline: s.lease.Grant(now, min(leaseTime, d.bounds.MaxLease)), Token: worker.Token(d.epoch),
+		Ticket: d.ticketFor(r),
 	}
 	caller := s.caller
 	d.mu.Unlock()
@@ -183,6 +183,8 @@
 // absent handles a run that a worker does not list in a look that was asked for at the given time.
 func (d *Dispatcher) absent(r *run, sent, now time.Time) {
 	switch r.phase {
+	case phaseStored, phaseOrdered:
+		// The order has not been answered yet.
 	case phaseRunning:
 		if r.confirmed.Before(sent) {
 			d.vanished(r, worker.CauseLapsed, now)
@@ -296,6 +298,8 @@
 		d.finished(r, now)
 	case worker.CauseFailed:
 		d.failed(r, now)
+	case worker.CauseStopped, worker.CauseLapsed, worker.CauseBroken, worker.CauseAlone:
+		// The task is started again; this is no attempt of its own.
 	}
 	if r.step.Gang && cause != worker.CauseDone {
 		d.stopGang(r, now)
--- a/dispatch/station.go
+++ b/dispatch/station.go
@@ -195,6 +195,9 @@
 	if s.silent.IsZero() {
 		r.until = s.lease.Grant(d.clock.Now(), min(leaseTime, d.bounds.MaxLease))
 	}
+	if s.shared() {
+		r.wait = paceWait
+	}
 	if s.stored > s.acked || s.impatient() {
 		r.wait = 0
 	}
@@ -299,6 +302,7 @@
 			d.absent(r, sent, now)
 		}
 	}
+	d.pace(s)
 	if first {
 		d.log.Info(eventReached, "worker", s.id, "running", len(look.Running), "ended", len(look.Ended))
 	}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -70,7 +70,8 @@
 	l.Write([]platform.Record{{Key: "a", Value: []byte("1")}}, func(err error) { first <- err })
 	l.Write(nil, func(err error) { second <- err })
 	select {
-	case <-second:
+	case err := <-second:
+		require.NoError(t, err)
 		require.Fail(t, "confirmed although an earlier write is not stored")
 	case <-time.After(300 * time.Millisecond):
 	}
--- /dev/null
+++ b/pace/pace.go
@@ -0,0 +1,34 @@
+// Package pace decides how fast tasks that fill a worker may work beside tasks that serve their own
+// users. It is pure. The disturbance differs by image and changes within seconds, so the share follows
+// the measured tail of the serving tasks: down at once, up slowly.
+package pace
+
+const (
+	// Full is the share of a task that is not held back, in percent.
+	Full = 100
+	// Over is the ratio of tail to target above which filling tasks are held back hard, Near the one above
+	// which they are held back a little, Calm the one below which they get more.
+	over, near, calm = 1.0, 0.85, 0.6
+	// cut divides the share when a serving task is over its target; floor is the share below which a task
+	// stops working, since less is not worth its memory.
+	cut, floor = 4, 10
+	// down and up are the steps in percent between near and calm.
+	down, up = 20, 15
+)
+
+// Next returns the share of the filling tasks of a worker, given their share now and the worst ratio of
+// tail to target among its serving tasks.
+func Next(percent int, ratio float64) int {
+	switch {
+	case ratio >= over:
+		percent /= cut
+		if percent < floor {
+			percent = 0
+		}
+	case ratio >= near:
+		percent = max(percent-down, 0)
+	case ratio < calm:
+		percent = min(percent+up, Full)
+	}
+	return percent
+}
--- a/process/peers.go
+++ b/process/peers.go
@@ -71,8 +71,10 @@
 		return d.Cancel(ctx, id)
 	case relay.Verb_STATE:
 		return d.State(id)
+	case relay.Verb_WAITING:
+		return d.Waiting(queue.Name(request.Queue))
 	}
-	return d.Waiting(queue.Name(request.Queue))
+	return &relay.Reply{Verdict: relay.Verdict_INVALID, Reason: "unknown verb"}
 }
 
 // Beat implements relay.Relay.
--- a/process/process.go
+++ b/process/process.go
@@ -46,6 +46,7 @@
 	log      event.Log
 	store    *platform.Store
 	fleet    *platform.Fleet
+	advisor  *platform.Advisor
 	clients  dispatch.Clients
 	peers    *http.Client
 	keeper   *tenure.Keeper
@@ -72,6 +73,7 @@
 		settings: s, clock: clock, log: log,
 		store:   &platform.Store{Address: s.Store, HTTP: client},
 		fleet:   &platform.Fleet{Address: s.Fleet, HTTP: client, Holder: string(s.ID)},
+		advisor: &platform.Advisor{Address: s.Advisor, HTTP: client},
 		clients: dispatch.Clients{Waiting: platform.NewHTTP(workerIdle), Orders: platform.NewHTTP(workerIdle)},
 		peers:   platform.NewHTTP(peerIdle),
 		signs:   map[tenure.Member]time.Time{},
@@ -172,7 +174,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c := p.settings.Contract
 	d := dispatch.New(ctx, gained, dispatch.Options{
-		Store: p.store, Fleet: p.fleet, Clients: p.clients, Clock: p.clock, Log: p.log.With("epoch", epoch), Config: p.follower.Config(),
+		Store: p.store, Fleet: p.fleet, Advisor: p.advisor, Clients: p.clients, Clock: p.clock, Log: p.log.With("epoch", epoch), Config: p.follower.Config(),
 		Bounds: dispatch.Bounds{
 			MaxLease: c.MaxLease, Heartbeat: p.settings.Heartbeat, Status: c.Status, Stop: c.Stop, Turn: c.Turn,
 			Move: c.Move, Maintenance: c.Maintenance, Notice: c.Notice,
--- a/standin/fabric/world.go
+++ b/standin/fabric/world.go
@@ -108,7 +108,7 @@
 }
 
 // boot begins a life of a worker on a machine.
-func (w *World) boot(machine, pool string, cpu int) *Worker {
+func (w *World) boot(machine, pool string, cpu int) {
 	w.mu.Lock()
 	w.serial++
 	worker := &Worker{
@@ -119,7 +119,6 @@
 	w.mu.Unlock()
 	worker.address = w.serve(worker)
 	w.Store.Put("keyed.servers", worker.ID, worker.entry())
-	return worker
 }
 
 // Crash ends the worker on a machine and begins another life there after d.
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -26,9 +26,11 @@
 	// callTimeout bounds one call. The store answers in 4 ms, and in about 0.4 s when it is slow.
 	callTimeout = 800 * time.Millisecond
 	// topic holds the claims under one key; the newest names the owner.
-	topic    platform.Topic = "keyed.owner"
-	part                    = 0
-	claimKey                = "owner"
+	topic platform.Topic = "keyed.owner"
+	// part is the only partition of the claims.
+	part = 0
+	// claimKey is the key of all claims.
+	claimKey = "owner"
 )
 
 // Store is the part of the platform's store that a Keeper uses.
@@ -242,26 +244,28 @@
 		k.Learn(newest.member)
 		return
 	}
+	k.append(call, t, newest, end)
+}
+
+// append claims the ownership after the newest claim.
+func (k *Keeper) append(ctx context.Context, t takeover, newest claim, end platform.Offset) {
 	k.mu.Lock()
 	closed, last := k.closed, k.last
 	if k.vacant.IsZero() {
-		k.vacant = sent
+		k.vacant = k.Clock.Now()
 	}
 	early := k.Clock.Since(k.vacant) < k.Handicap
 	k.mu.Unlock()
-	if closed {
+	if closed || early && t.instead == "" {
 		return
 	}
 	if newest.member == k.Member && newest.epoch() > last {
 		k.apply(Gained{Epoch: newest.epoch()}) // a claim whose answer was lost
 		return
 	}
-	if early && t.instead == "" {
-		return
-	}
 	clean := newest.member == "" || newest.member == k.Member || t.clean
 	mine := claim{member: k.Member, offset: end}
-	err = k.Store.AppendAt(call, topic, part, end, platform.Record{Key: claimKey, Value: []byte(k.Member)})
+	err := k.Store.AppendAt(ctx, topic, part, end, platform.Record{Key: claimKey, Value: []byte(k.Member)})
 	k.Log.Info(eventClaim, "epoch", mine.epoch(), "instead", newest.member, "reason", t.reason, "clean", clean, "error", err)
 	if err == nil {
 		k.apply(Gained{Epoch: mine.epoch(), Clean: clean})
