--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -67,8 +67,10 @@
 	// foreign is how long runs of the earlier owner are kept on workers that this one cannot reach: the
 	// earlier owner may have renewed their leases until its tenure ended.
 	foreign time.Duration
-	ctx     context.Context
-	kick    chan struct{}
+	// turn is how long this owner leaves machines alone, because another may just have given orders for them.
+	turn time.Duration
+	ctx  context.Context
+	kick chan struct{}
 	// questions wait for the advice service.
 	questions chan question
 
@@ -127,6 +129,8 @@
 	dirty  bool
 	// writing is the number of writes of the job that the ledger has not confirmed.
 	writing int
+	// withdrawn is set once the job was refused after all.
+	withdrawn bool
 	// after is called with the outcome of the next write of the job.
 	after []func(error)
 	// running is the number of runs that may be running.
@@ -161,7 +165,12 @@
 	if !gained.Clean {
 		foreign += tenure.TTL
 	}
+	turn := o.Bounds.Turn
+	if gained.Same {
+		turn = 0
+	}
 	return &Dispatcher{
+		turn:  turn,
 		store: o.Store, fleet: o.Fleet, advisor: o.Advisor, clients: o.Clients, bounds: o.Bounds, clock: o.Clock, log: o.Log, epoch: gained.Epoch, foreign: foreign,
 		began: o.Clock.Now(), ctx: ctx, kick: make(chan struct{}, 1), config: o.Config,
 		jobs: map[task.JobID]*job{}, stations: map[worker.ID]*station{}, listed: map[worker.ID]worker.Listing{},
--- a/dispatch/durable.go
+++ b/dispatch/durable.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -22,7 +23,7 @@
 
 // mark notes that the progress of a job is to be stored. The functions are called with the outcome.
 func (d *Dispatcher) mark(j *job, after ...func(error)) {
-	if !j.dirty {
+	if !j.dirty && !j.withdrawn {
 		j.dirty = true
 		d.dirty = append(d.dirty, j)
 	}
@@ -53,27 +54,23 @@
 		return
 	}
 	var records []platform.Record
-	var after []func(error)
-	written := append([]*job(nil), d.dirty...)
-	for _, j := range written {
+	var written []*job
+	for _, j := range d.dirty {
 		j.dirty = false
 		j.writing++
+		if !j.intake {
+			d.offer(j)
+			continue
+		}
+		written = append(written, j)
 		records = append(records, d.records(j)...)
-		after = append(after, j.after...)
-		j.after = nil
 	}
 	d.dirty = d.dirty[:0]
+	after := callbacks(written)
 	d.ledger.Write(records, func(err error) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		if err == nil {
-			for _, j := range written {
-				j.writing--
-			}
-		}
-		for _, f := range after {
-			f(err)
-		}
+		d.written(written, after, err)
 		if err != nil {
 			return
 		}
@@ -84,6 +81,57 @@
 	})
 }
 
+// callbacks returns what is to be called after the next write of the jobs.
+func callbacks(jobs []*job) []func(error) {
+	var after []func(error)
+	for _, j := range jobs {
+		after = append(after, j.after...)
+		j.after = nil
+	}
+	return after
+}
+
+// written notes the outcome of a write.
+func (d *Dispatcher) written(jobs []*job, after []func(error), err error) {
+	if err == nil {
+		for _, j := range jobs {
+			j.writing--
+		}
+	}
+	for _, f := range after {
+		f(err)
+	}
+}
+
+// offer gives a new job to the ledger. While the store does not take it, the job is withdrawn, so that its
+// caller can be refused.
+func (d *Dispatcher) offer(j *job) {
+	records := d.records(j)
+	after := callbacks([]*job{j})
+	d.ledger.Offer(records, func(err error) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		if ledger.IsNotSent(err) {
+			d.withdraw(j)
+		}
+		d.written([]*job{j}, after, err)
+		d.wake()
+	})
+}
+
+// withdraw forgets a job that is not stored.
+func (d *Dispatcher) withdraw(j *job) {
+	d.log.Info(eventWithdrawn, "job", j.ID, "queue", j.Queue)
+	delete(d.jobs, j.ID)
+	d.open = slices.DeleteFunc(d.open, func(o *job) bool { return o == j })
+	j.withdrawn = true
+	for _, r := range d.runs {
+		if r.job == j {
+			d.remove(r)
+		}
+	}
+}
+
 // records returns the stored form of what has changed in a job.
 func (d *Dispatcher) records(j *job) []platform.Record {
 	var records []platform.Record
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -8,6 +8,7 @@
 	eventEncode      = event.Define(2502, "job.unstored", "a job cannot be encoded")
 	eventDecode      = event.Define(2503, "job.unreadable", "a stored job cannot be read; it is left out")
 	eventAccept      = event.Define(2504, "job.accepted", "a job was accepted and is being stored")
+	eventWithdrawn   = event.Define(2527, "job.withdrawn", "the store does not take a new job; its caller is refused and it never runs")
 	eventCancel      = event.Define(2505, "job.cancelled", "a caller cancelled a job; its tasks are stopped")
 	eventFinal       = event.Define(2506, "job.ended", "a job has its final state")
 	eventPlace       = event.Define(2507, "task.placed", "a worker was chosen for a task")
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -65,7 +65,12 @@
 // watchWrite returns a channel that receives the outcome of the next write of a job.
 func (d *Dispatcher) watchWrite(j *job) <-chan error {
 	outcome := make(chan error, 1)
-	d.mark(j, func(err error) { outcome <- err })
+	d.mark(j, func(err error) {
+		if err == nil && j.withdrawn {
+			err = &ledger.ClosedError{} // a later write of the job was stored, its intake was not
+		}
+		outcome <- err
+	})
 	return outcome
 }
 
@@ -77,7 +82,7 @@
 		case err == nil:
 			return &relay.Reply{Verdict: relay.Verdict_DONE}
 		case ledger.IsNotSent(err):
-			return refuse(err.Error(), openDelay)
+			return refuse(err.Error(), storeRetry)
 		}
 		return &relay.Reply{Verdict: relay.Verdict_UNKNOWN, Reason: err.Error()}
 	case <-ctx.Done():
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -157,8 +157,7 @@
 	if !d.openStatus() {
 		return
 	}
-	// Another owner may have given orders for machines until a moment ago.
-	if d.clock.Sleep(d.ctx, d.bounds.Turn) != nil {
+	if d.clock.Sleep(d.ctx, d.turn) != nil {
 		return
 	}
 	for {
--- a/ledger/error.go
+++ b/ledger/error.go
@@ -26,10 +26,16 @@
 // Outcome implements failure.Coded.
 func (e *UncertainError) Outcome() failure.Outcome { return failure.OutcomeUnknown }
 
-// ClosedError reports a write that was never sent, because another process writes now.
+// ClosedError reports a write that is not stored and never will be: another process writes now, or the
+// store does not take it. Cause may be nil.
 type ClosedError struct{ Cause error }
 
-func (e *ClosedError) Error() string { return "write was not sent: " + e.Cause.Error() }
+func (e *ClosedError) Error() string {
+	if e.Cause == nil {
+		return "write is not stored: the store does not answer"
+	}
+	return "write is not stored: " + e.Cause.Error()
+}
 
 // Unwrap returns the cause.
 func (e *ClosedError) Unwrap() error { return e.Cause }
@@ -40,7 +46,7 @@
 // Outcome implements failure.Coded.
 func (e *ClosedError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
 
-// IsNotSent reports whether the write provably never reached the store.
+// IsNotSent reports whether the write is provably not stored and never will be.
 func IsNotSent(err error) bool {
 	var closed *ClosedError
 	return errors.As(err, &closed)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -23,6 +23,9 @@
 	appendTimeout = 1200 * time.Millisecond
 	// retryDelay is the pause before a failed append is repeated.
 	retryDelay = 100 * time.Millisecond
+	// withdrawAfter is how long the store may refuse an append before writes are withdrawn that may be. A
+	// caller that is refused early can still be served by a repeat.
+	withdrawAfter = 300 * time.Millisecond
 	// maxBytes bounds the records of one append; the store takes 2 MB.
 	maxBytes = 1 << 20
 )
@@ -41,6 +44,8 @@
 type write struct {
 	records []platform.Record
 	done    Done
+	// optional writes are withdrawn while the store does not take them.
+	optional bool
 }
 
 // Ledger writes records in the order in which they are given. Open returns one that may write.
@@ -86,10 +91,21 @@
 // Write stores records, all or none, and calls done from another goroutine. Without records, done is called
 // once all earlier writes are stored.
 func (l *Ledger) Write(records []platform.Record, done Done) {
+	l.add(write{records: records, done: done})
+}
+
+// Offer is a Write that may be withdrawn: if the store does not take it for a while, and it certainly is
+// not stored, done is called with an error for which IsNotSent holds, and it never will be stored.
+func (l *Ledger) Offer(records []platform.Record, done Done) {
+	l.add(write{records: records, done: done, optional: true})
+}
+
+func (l *Ledger) add(w write) {
+	done := w.done
 	l.mu.Lock()
 	err := l.err
 	if err == nil {
-		l.pending = append(l.pending, write{records: records, done: done})
+		l.pending = append(l.pending, w)
 	}
 	l.mu.Unlock()
 	if err != nil {
@@ -171,20 +187,19 @@
 
 // append stores a batch. It repeats the append until the store has answered it.
 func (l *Ledger) append(ctx context.Context, batch []write) error {
-	var records []platform.Record
-	for _, w := range batch {
-		records = append(records, w.records...)
-	}
+	records := recordsOf(batch)
 	if len(records) == 0 {
 		l.settle(batch)
 		return nil
 	}
 	l.next++
+	certain := true // no try of this batch can have been stored
 	for try := 1; ; try++ {
 		err := l.send(ctx, records)
 		if err == nil {
 			break
 		}
+		certain = certain && platform.IsRefused(err)
 		if expected, ok := platform.Expected(err); ok {
 			l.log.Info(eventExpected, "try", try, "sequence", l.next, "expected", expected)
 			if expected > l.next {
@@ -197,6 +212,12 @@
 			return err
 		}
 		l.log.Warn(eventRepeat, "try", try, "records", len(records), "error", err)
+		if l.Stalled() > withdrawAfter {
+			if l.withdraw(); certain {
+				batch = l.required(batch, err)
+				records = recordsOf(batch)
+			}
+		}
 		if err := l.clock.Sleep(ctx, retryDelay); err != nil {
 			return err
 		}
@@ -205,6 +226,39 @@
 	return nil
 }
 
+func recordsOf(batch []write) []platform.Record {
+	var records []platform.Record
+	for _, w := range batch {
+		records = append(records, w.records...)
+	}
+	return records
+}
+
+// withdraw withdraws the optional writes that wait behind the append on its way.
+func (l *Ledger) withdraw() {
+	l.mu.Lock()
+	pending := l.pending
+	l.pending = nil
+	l.mu.Unlock()
+	pending = l.required(pending, nil)
+	l.mu.Lock()
+	l.pending = append(pending, l.pending...)
+	l.mu.Unlock()
+}
+
+// required withdraws the optional writes of a list and returns the others.
+func (l *Ledger) required(list []write, cause error) []write {
+	var left []write
+	for _, w := range list {
+		if !w.optional {
+			left = append(left, w)
+			continue
+		}
+		w.done(&ClosedError{Cause: cause})
+	}
+	return left
+}
+
 // settle tells the outcome of a batch that is stored.
 func (l *Ledger) settle(batch []write) {
 	l.mu.Lock()
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -101,3 +101,30 @@
 	require.True(t, ledger.IsNotSent(<-outcome))
 	require.Error(t, errors.Unwrap(&ledger.ClosedError{Cause: errors.ErrUnsupported}))
 }
+
+// TestWithdraw guards against callers that wait for a store that refuses, and against a withdrawn write
+// that is stored all the same.
+func TestWithdraw(t *testing.T) {
+	s := &store{up: true}
+	l, _ := open(t, s)
+	s.set(func(s *store) { s.up = false })
+	outcomes := make(chan error, 2)
+	l.Offer([]platform.Record{{Key: "a", Value: []byte("1")}}, func(err error) { outcomes <- err })
+	kept := make(chan error, 1)
+	l.Write([]platform.Record{{Key: "b", Value: []byte("1")}}, func(err error) { kept <- err })
+	l.Offer([]platform.Record{{Key: "c", Value: []byte("1")}}, func(err error) { outcomes <- err })
+	for range 2 {
+		select {
+		case err := <-outcomes:
+			require.True(t, ledger.IsNotSent(err))
+		case <-time.After(patience):
+			require.Fail(t, "a write waits for a store that refuses it")
+		}
+	}
+	s.set(func(s *store) { s.up = true })
+	require.NoError(t, <-kept)
+	s.set(func(s *store) {
+		require.Len(t, s.stored, 1)
+		require.Equal(t, "b", s.stored[0].Key)
+	})
+}
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -94,11 +94,16 @@
 	w.submit(e, "desk", jobID(1), job(1000, 50, 1))
 	w.awaitDone(e, "desk", jobID(1))
 	w.Store.SetFaults(fabric.Faults{Busy: true})
-	w.call(e, http.MethodPost, "/desk/"+jobID(2), job(1000, 50, 1)) // shows that the store is away
-	status, _ := w.call(e, http.MethodPost, "/desk/"+jobID(3), job(1000, 50, 1))
-	require.Equal(t, http.StatusServiceUnavailable, status)
+	for n := 2; n < 4; n++ {
+		begin := time.Now()
+		status, _ := w.call(e, http.MethodPost, "/desk/"+jobID(n), job(1000, 50, 1))
+		require.Equal(t, http.StatusServiceUnavailable, status)
+		require.Less(t, time.Since(begin), 1500*time.Millisecond, "refused only near the deadline of 3 s")
+	}
 	w.Store.SetFaults(fabric.Faults{})
-	w.awaitDone(e, "desk", jobID(2))
+	w.submit(e, "desk", jobID(4), job(1000, 50, 1))
+	w.awaitDone(e, "desk", jobID(4))
+	require.Zero(t, w.Starts(jobID(2)+".0.0.0"))
 	require.Zero(t, w.Starts(jobID(3)+".0.0.0"))
 }
 
--- a/task/record.go
+++ b/task/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/failure"
@@ -188,6 +189,9 @@
 	}
 }
 
+// errNoIntake is the cause of a RecordError where progress is stored of a job that was never accepted.
+var errNoIntake = errors.New("the job has no intake and has not ended")
+
 // endedRecord is the stored form of a job whose intake has been dropped.
 type endedRecord struct {
 	Outcome State `json:"outcome"`
@@ -200,5 +204,8 @@
 	if err := json.Unmarshal(data, &record); err != nil {
 		return nil, &RecordError{ID: id, Cause: err}
 	}
+	if !record.Outcome.Final() {
+		return nil, &RecordError{ID: id, Cause: errNoIntake}
+	}
 	return &Job{ID: id, Outcome: record.Outcome, Ended: time.UnixMilli(record.Ended), Passes: map[int]*Occurrence{}}, nil
 }
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -62,6 +62,8 @@
 	Epoch platform.Epoch
 	// Clean says that the earlier owner certainly gives no orders any more.
 	Clean bool
+	// Same says that the earlier owner was this process.
+	Same bool
 }
 
 // Lost says that this process is no longer the owner.
@@ -268,7 +270,7 @@
 	err := k.Store.AppendAt(ctx, topic, part, end, platform.Record{Key: claimKey, Value: []byte(k.Member)})
 	k.Log.Info(eventClaim, "epoch", mine.epoch(), "instead", newest.member, "reason", t.reason, "clean", clean, "error", err)
 	if err == nil {
-		k.apply(Gained{Epoch: mine.epoch(), Clean: clean})
+		k.apply(Gained{Epoch: mine.epoch(), Clean: clean, Same: newest.member == k.Member})
 	}
 }
 
--- a/wave/plan.go
+++ b/wave/plan.go
@@ -48,6 +48,8 @@
 	emptyTime = 2 * time.Second
 	// patience is how long a machine is given to become empty before tasks that end on their own are ended.
 	patience = 4 * time.Second
+	// shares divides the time that is left between the wait for tasks and what follows.
+	shares = 3
 	// usable is the part of the remaining time that is planned with; the rest is for machines that are
 	// down or become empty late.
 	usable = 0.6
@@ -66,12 +68,14 @@
 	sort.SliceStable(machines, func(i, j int) bool { return before(machines[i], machines[j]) })
 	busy := pace.Away
 	late := pace.Left < patience*2
+	// The less time is left, the less of it tasks are given to end on their own.
+	wait := min(patience, max(0, (pace.Left-pace.Each)/shares))
 	for _, m := range machines {
 		if !m.Up || busy >= width && !m.Chosen {
 			continue
 		}
 		idle := m.Running == 0 && m.Lasting == 0
-		due := m.Chosen && now.Sub(m.Since) > patience && m.Lasting == 0
+		due := m.Chosen && now.Sub(m.Since) > wait && m.Lasting == 0
 		switch {
 		case room > 0 && (idle || due):
 			plan.Maintain = append(plan.Maintain, m.ID)
--- a/wave/plan_test.go
+++ b/wave/plan_test.go
@@ -83,3 +83,12 @@
 	require.Empty(t, plan.Maintain)
 	require.Equal(t, []worker.MachineID{"m"}, plan.Empty)
 }
+
+// TestLastMachine guards against a wave that is late for its last machine, because a new owner gives its
+// tasks the full time once more.
+func TestLastMachine(t *testing.T) {
+	now := time.UnixMilli(0).Add(time.Hour)
+	machines := []wave.Machine{{ID: "m", Up: true, Chosen: true, Since: now.Add(-500 * time.Millisecond), Running: 5}}
+	plan := wave.Next(request(1, 1, time.Second), machines, wave.Pace{Left: 3 * time.Second, Each: each}, now)
+	require.Equal(t, []worker.MachineID{"m"}, plan.Maintain)
+}
