--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -237,7 +237,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.ledger == nil {
-		return d.clock.Since(d.began)
+		return 0 // the look at the claims shows whether the store answers
 	}
 	return d.ledger.Stalled()
 }
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -149,7 +149,7 @@
 // usable reports whether a worker takes tasks.
 func (d *Dispatcher) usable(s *station) bool {
 	l, listed := d.listed[s.id]
-	return listed && !s.ended && l.State == worker.StateReady && s.fenced && s.lease.Known() && s.silent.IsZero() && !d.upkeep.busy(l.Machine)
+	return listed && !s.ended && s.strays == 0 && l.State == worker.StateReady && s.fenced && s.lease.Known() && s.silent.IsZero() && !d.upkeep.busy(l.Machine)
 }
 
 // assign stores the place of a task and orders its start once it is stored.
--- a/dispatch/station.go
+++ b/dispatch/station.go
@@ -58,6 +58,9 @@
 	listedEnd, storing, stored, acked worker.EndNumber
 	// heard is when the last look arrived, silent when calls began to go without an answer.
 	heard, silent time.Time
+	// strays is the number of runs in the last look that the owner does not know. Their room is unknown too, so
+	// the worker takes no tasks until they have ended.
+	strays int
 	// inspected is when the worker last listed what runs there.
 	inspected time.Time
 	// suspect is until when the worker takes tasks last.
@@ -189,7 +192,7 @@
 			r.Until = s.lease.Grant(now, leaseTime)
 		}
 		return r, true
-	case len(s.runs) == 0:
+	case len(s.runs) == 0 && s.strays == 0:
 		return r, s.stored > s.acked
 	}
 	r.Wait = renewWait
@@ -208,6 +211,9 @@
 
 // certain reports whether all runs are known to run, and those that last at full speed.
 func (s *station) certain() bool {
+	if s.strays > 0 {
+		return false
+	}
 	for _, r := range s.runs {
 		if r.phase != phaseRunning || r.step.Lasting && r.seen.IsZero() {
 			return false
@@ -218,6 +224,9 @@
 
 // impatient reports whether an order without an answer waits for a look.
 func (s *station) impatient() bool {
+	if s.strays > 0 {
+		return true
+	}
 	for _, r := range s.runs {
 		if r.phase == phaseDoubt || r.phase == phaseStopping {
 			return true
@@ -314,6 +323,7 @@
 // compare takes over what a worker has listed as running.
 func (d *Dispatcher) compare(s *station, look worker.Look, sent, now time.Time) {
 	running := map[runID]bool{}
+	s.strays = 0
 	for _, seen := range look.Running {
 		id := runID{key: seen.Key, run: seen.Number}
 		running[id] = true
@@ -321,6 +331,7 @@
 			d.running(r, seen, now)
 			continue
 		}
+		s.strays++
 		d.stray(s, id)
 	}
 	for id, r := range s.runs {
@@ -347,7 +358,7 @@
 	s.birth = birth
 	s.fenced = false
 	s.lease = worker.Lease{}
-	s.listedEnd, s.storing, s.stored, s.acked = 0, 0, 0, 0
+	s.listedEnd, s.storing, s.stored, s.acked, s.strays = 0, 0, 0, 0, 0
 	for _, r := range s.runs {
 		switch r.phase {
 		case phaseOrdered, phaseDoubt:
--- a/process/peers.go
+++ b/process/peers.go
@@ -24,6 +24,13 @@
 	ownerSilence = 1200 * time.Millisecond
 	// storeSilence is how long the store may be silent before an owner gives way to a peer that reaches it.
 	storeSilence = 1300 * time.Millisecond
+	// stallSilence is how long an append may be without an answer before the owner gives way. A slow store
+	// takes about 0.4 s for a call, and an append may have to wait for another.
+	stallSilence = 2500 * time.Millisecond
+	// weakerWait is how much longer an owner waits before it gives way to a peer on a smaller instance: the
+	// signs of all peers arrive meanwhile. equalCores is the processor of a peer that is not smaller.
+	weakerWait = 500 * time.Millisecond
+	equalCores = 0.9
 	// betterCores is how many times the processor of the owner a peer must have to take over. A change of the
 	// owner costs some 100 ms of placing.
 	betterCores = 1.5
@@ -95,17 +102,29 @@
 	}
 	notice.Silence = 0
 	notice.Members = p.remember(tenure.Member(sign.Member))
-	if sign.Store && max(p.keeper.Silence(), d.Stalled()) > storeSilence {
-		p.keeper.Resign("a peer reaches the store, this process does not")
-		notice.Release = true
-	}
-	if sign.Store && d.Settled() && float64(sign.Cores) > betterCores*millicores*p.settings.Cores {
-		p.keeper.Resign("a peer on a larger instance takes over")
+	if reason := p.giveUp(d, sign); reason != "" {
+		p.keeper.Resign(reason)
 		notice.Release = true
 	}
 	return notice, nil
 }
 
+// giveUp returns why this owner gives way to the sender; empty if it does not.
+func (p *Process) giveUp(d *dispatch.Dispatcher, sign *relay.Sign) string {
+	if !sign.Store {
+		return ""
+	}
+	ratio := float64(sign.Cores) / (millicores * p.settings.Cores)
+	cut := max(p.keeper.Silence()-storeSilence, d.Stalled()-stallSilence)
+	switch {
+	case cut > weakerWait || cut > 0 && ratio >= equalCores:
+		return "a peer reaches the store, this process does not"
+	case d.Settled() && ratio > betterCores:
+		return "a peer on a larger instance takes over"
+	}
+	return ""
+}
+
 // remember notes a sign of life and returns the other members that have sent one lately.
 func (p *Process) remember(from tenure.Member) []string {
 	p.mu.Lock()
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -278,3 +278,23 @@
 		require.Equal(t, 1, w.Starts(jobID(n)+".0.0.0"))
 	}
 }
+
+// TestStrays guards against a worker that is filled beyond its capacity, because it still runs tasks of a
+// job that ended under the earlier owner.
+func TestStrays(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	w.AddMachine("desk", cores16, false)
+	first, second := w.start("entry-1"), w.start("entry-2")
+	w.submit(second, "desk", jobID(1), job(12000, 20000, 1))
+	require.Eventually(t, func() bool { return w.Starts(jobID(1)+".0.0.0") == 1 }, patience, poll)
+	for _, worker := range w.Workers() {
+		worker.DelayStops(700 * time.Millisecond)
+	}
+	w.submit(second, "desk", jobID(2), job(12000, 50, 1))
+	status, _ := w.call(second, http.MethodDelete, "/desk/"+jobID(1), "")
+	require.Equal(t, http.StatusOK, status)
+	first.stop()
+	w.awaitDone(second, "desk", jobID(2))
+}
--- a/standin/fabric/worker.go
+++ b/standin/fabric/worker.go
@@ -32,6 +32,8 @@
 	// late is the number of starts that get no answer and are carried out after lateBy.
 	late   int
 	lateBy time.Duration
+	// slow is how long a stop takes.
+	slow time.Duration
 }
 
 type run struct {
@@ -74,6 +76,13 @@
 	w.late, w.lateBy = n, d
 }
 
+// DelayStops lets stops take d.
+func (w *Worker) DelayStops(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slow = d
+}
+
 // ServeHTTP implements http.Handler.
 func (w *Worker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	var body orderBody
@@ -98,7 +107,11 @@
 	case "/api/run-stop":
 		w.mu.Lock()
 		w.fence(body)
-		w.stop(body)
+		time.AfterFunc(w.slow, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.stop(body)
+		})
 		w.mu.Unlock()
 		reply(rw, http.StatusOK, map[string]int64{"clock_ms": w.clock()})
 	case "/api/hold":
