--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -163,13 +163,14 @@
 
 // New returns the owner of a tenure that was gained.
 func New(ctx context.Context, gained tenure.Gained, o Options) *Dispatcher {
-	foreign := expiry
-	if !gained.Clean {
-		foreign += tenure.TTL
-	}
-	turn := o.Bounds.Turn
-	if gained.Same {
-		turn = 0
+	var foreign, turn time.Duration
+	switch gained.Earlier {
+	case tenure.DepartureSilent:
+		foreign, turn = expiry+tenure.TTL, o.Bounds.Turn
+	case tenure.DepartureYielded:
+		foreign, turn = expiry, o.Bounds.Turn
+	case tenure.DepartureNone, tenure.DepartureSelf, tenure.DepartureEnded:
+		foreign = expiry
 	}
 	return &Dispatcher{
 		turn:  turn,
--- a/process/peers.go
+++ b/process/peers.go
@@ -239,14 +239,15 @@
 	switch {
 	case err == nil && notice.Self != string(owner):
 		// Another life answers at the address: the owner's process has ended.
-		p.keeper.Replace(ctx, owner, true, "its process has ended")
+		p.keeper.Replace(ctx, owner, tenure.DepartureEnded)
 	case err == nil && notice.Release:
-		p.keeper.Replace(ctx, owner, true, "it does not reach the store")
+		p.keeper.Replace(ctx, owner, tenure.DepartureYielded)
 	case err == nil:
 		p.keeper.Forget(owner) // the store names the owner
 	case errors.Is(err, syscall.ECONNREFUSED) && silence >= p.keeper.Handicap || silence > ownerSilence+p.keeper.Handicap:
 		if p.confirmed(ctx, owner) {
-			p.keeper.Replace(ctx, owner, false, "it does not answer: "+err.Error())
+			p.log.Info(eventSilent, "owner", owner, "silence", silence, "error", err)
+			p.keeper.Replace(ctx, owner, tenure.DepartureSilent)
 		}
 	}
 }
--- a/process/process.go
+++ b/process/process.go
@@ -170,7 +170,7 @@
 
 func (p *Process) begin(gained tenure.Gained) {
 	epoch := gained.Epoch
-	p.log.Info(eventGained, "epoch", epoch, "clean", gained.Clean)
+	p.log.Info(eventGained, "epoch", epoch, "earlier", gained.Earlier)
 	ctx, cancel := context.WithCancel(context.Background())
 	c := p.settings.Contract
 	d := dispatch.New(ctx, gained, dispatch.Options{
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -57,13 +57,22 @@
 // Change is what a Keeper tells about the ownership: Gained or Lost.
 type Change interface{ change() }
 
+// Departure says how the earlier owner ended its tenure.
+type Departure string
+
+// Departures of the earlier owner. After all but DepartureSilent it certainly gives no orders any more.
+const (
+	DepartureNone    Departure = "none"    // there was none, or it gave the ownership up when it stopped
+	DepartureSelf    Departure = "self"    // it was this process
+	DepartureEnded   Departure = "ended"   // its process has ended
+	DepartureYielded Departure = "yielded" // it gave way and lives on
+	DepartureSilent  Departure = "silent"  // it gave no answer
+)
+
 // Gained says that this process is the owner now.
 type Gained struct {
-	Epoch platform.Epoch
-	// Clean says that the earlier owner certainly gives no orders any more.
-	Clean bool
-	// Same says that the earlier owner was this process.
-	Same bool
+	Epoch   platform.Epoch
+	Earlier Departure
 }
 
 // Lost says that this process is no longer the owner.
@@ -180,7 +189,7 @@
 	case epoch != 0:
 		k.confirm(ctx, epoch)
 	case owner == "":
-		k.claim(ctx, takeover{reason: "there is no owner"})
+		k.claim(ctx, takeover{})
 	}
 }
 
@@ -212,13 +221,11 @@
 	k.confirmed = sent
 }
 
-// takeover is an attempt to become the owner.
+// takeover is an attempt to become the owner. The zero value replaces nobody.
 type takeover struct {
-	// instead is the member whose claim may be replaced; empty if none may be.
+	// instead is the member whose claim may be replaced, earlier how it departed.
 	instead Member
-	// clean says that this member certainly gives no orders any more.
-	clean  bool
-	reason string
+	earlier Departure
 }
 
 // claim makes this process the owner unless a claim of another member stands.
@@ -262,15 +269,21 @@
 		return
 	}
 	if newest.member == k.Member && newest.epoch() > last {
-		k.apply(Gained{Epoch: newest.epoch()}) // a claim whose answer was lost
+		k.apply(Gained{Epoch: newest.epoch(), Earlier: DepartureSilent}) // a claim whose answer was lost
 		return
 	}
-	clean := newest.member == "" || newest.member == k.Member || t.clean
+	earlier := t.earlier
+	switch newest.member {
+	case "":
+		earlier = DepartureNone
+	case k.Member:
+		earlier = DepartureSelf
+	}
 	mine := claim{member: k.Member, offset: end}
 	err := k.Store.AppendAt(ctx, topic, part, end, platform.Record{Key: claimKey, Value: []byte(k.Member)})
-	k.Log.Info(eventClaim, "epoch", mine.epoch(), "instead", newest.member, "reason", t.reason, "clean", clean, "error", err)
+	k.Log.Info(eventClaim, "epoch", mine.epoch(), "instead", newest.member, "earlier", earlier, "error", err)
 	if err == nil {
-		k.apply(Gained{Epoch: mine.epoch(), Clean: clean, Same: newest.member == k.Member})
+		k.apply(Gained{Epoch: mine.epoch(), Earlier: earlier})
 	}
 }
 
@@ -289,11 +302,10 @@
 	return c, end, nil
 }
 
-// Replace makes this process the owner in place of a member. Clean says that the member has certainly ended
-// or given way; otherwise it only gave no answer.
-func (k *Keeper) Replace(ctx context.Context, member Member, clean bool, reason string) {
+// Replace makes this process the owner in place of a member that has departed.
+func (k *Keeper) Replace(ctx context.Context, member Member, earlier Departure) {
 	k.Forget(member)
-	k.claim(ctx, takeover{instead: member, clean: clean, reason: reason})
+	k.claim(ctx, takeover{instead: member, earlier: earlier})
 }
 
 // Resign gives the ownership up. A peer is to claim it.
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -164,7 +164,7 @@
 }
 
 // TestReplaced guards against an owner that does not notice that a peer has replaced it, and against a
-// takeover that counts as clean although the earlier owner only gave no answer.
+// takeover that counts as certain although the earlier owner only gave no answer.
 func TestReplaced(t *testing.T) {
 	clock := timer.NewManual(time.UnixMilli(0))
 	s := &store{}
@@ -172,9 +172,9 @@
 	await(t, clock, "not owner", func() bool { return a.epoch() != 0 })
 	b := start(t, s, clock, "b:1/x")
 	await(t, clock, "owner unknown", func() bool { return b.Owner() == a.Member })
-	b.Replace(t.Context(), a.Member, false, "test")
+	b.Replace(t.Context(), a.Member, tenure.DepartureSilent)
 	await(t, clock, "both are owners", func() bool { return a.epoch() == 0 && b.epoch() != 0 })
-	require.Equal(t, tenure.Gained{Epoch: 2}, b.changes[0])
+	require.Equal(t, tenure.Gained{Epoch: 2, Earlier: tenure.DepartureSilent}, b.changes[0])
 }
 
 // TestStopGivesUp guards against an ownership that stays with a process that has stopped.
@@ -186,7 +186,7 @@
 	a.stop()
 	b := start(t, s, clock, "b:1/x")
 	await(t, clock, "no new owner", func() bool { return b.epoch() != 0 })
-	require.Equal(t, tenure.Gained{Epoch: 3, Clean: true}, b.changes[0])
+	require.Equal(t, tenure.Gained{Epoch: 3, Earlier: tenure.DepartureNone}, b.changes[0])
 }
 
 // TestClaimWhileOwner guards against a second claim by a process that has become the owner while it found
@@ -195,7 +195,7 @@
 	clock := timer.NewManual(time.UnixMilli(0))
 	k := start(t, &store{}, clock, "a:1/x")
 	await(t, clock, "not owner", func() bool { return k.epoch() != 0 })
-	k.Replace(t.Context(), "b:1/x", true, "test")
+	k.Replace(t.Context(), "b:1/x", tenure.DepartureEnded)
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	require.Len(t, k.changes, 1)
