--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -233,16 +233,6 @@
 	j.Pool = q.Pool
 }
 
-// Stalled returns how long the ledger has waited for the store.
-func (d *Dispatcher) Stalled() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.ledger == nil {
-		return 0 // the look at the claims shows whether the store answers
-	}
-	return d.ledger.Stalled()
-}
-
 // Loaded reports whether the stored jobs are loaded.
 func (d *Dispatcher) Loaded() bool {
 	d.mu.Lock()
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -20,8 +20,6 @@
 	readWait = 900 * time.Millisecond
 	// readSlack bounds the answer of the store after readWait; a slow store takes about 0.4 s.
 	readSlack = 700 * time.Millisecond
-	// freshSlack is added to readWait before the store counts as silent.
-	freshSlack = 250 * time.Millisecond
 	// retryDelay is the pause after a failed read.
 	retryDelay = 100 * time.Millisecond
 	// part is the partition of the operator's records.
@@ -61,8 +59,6 @@
 	offset   platform.Offset // of the configuration in force
 	waves    map[wave.Number]Wave
 	lost     time.Time
-	// answered is when the store last answered a read.
-	answered time.Time
 	next     platform.Offset // next offset to read; -1 before the first read
 }
 
@@ -199,17 +195,9 @@
 	}
 }
 
-// Fresh reports whether the store has answered lately: within the wait of a read and a little more.
-func (f *Follower) Fresh() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return !f.answered.IsZero() && f.lost.IsZero() && f.Clock.Since(f.answered) < readWait+freshSlack
-}
-
 func (f *Follower) reached() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.answered = f.Clock.Now()
 	if !f.lost.IsZero() {
 		f.Log.Info(eventReached, "after", f.Clock.Since(f.lost))
 		f.lost = time.Time{}
--- a/process/peers.go
+++ b/process/peers.go
@@ -24,9 +24,10 @@
 	ownerSilence = 1200 * time.Millisecond
 	// storeSilence is how long the store may be silent before an owner gives way to a peer that reaches it.
 	storeSilence = 1300 * time.Millisecond
-	// stallSilence is how long an append may be without an answer before the owner gives way. A slow store
-	// takes about 0.4 s for a call, and an append may have to wait for another.
-	stallSilence = 2500 * time.Millisecond
+	// probeSilence is how long the store may be silent before an owner asks its peers to try, reachedTime how
+	// long a success counts.
+	probeSilence = 700 * time.Millisecond
+	reachedTime  = time.Second
 	// weakerWait is how much longer an owner waits before it gives way to a peer on a smaller instance: the
 	// signs of all peers arrive meanwhile. equalCores is the processor of a peer that is not smaller.
 	weakerWait = 500 * time.Millisecond
@@ -102,6 +103,7 @@
 	}
 	notice.Silence = 0
 	notice.Members = p.remember(tenure.Member(sign.Member))
+	notice.Probe = p.keeper.Silence() > probeSilence
 	if reason := p.giveUp(d, sign); reason != "" {
 		p.keeper.Resign(reason)
 		notice.Release = true
@@ -111,15 +113,12 @@
 
 // giveUp returns why this owner gives way to the sender; empty if it does not.
 func (p *Process) giveUp(d *dispatch.Dispatcher, sign *relay.Sign) string {
-	if !sign.Store {
-		return ""
-	}
 	ratio := float64(sign.Cores) / (millicores * p.settings.Cores)
-	cut := max(p.keeper.Silence()-storeSilence, d.Stalled()-stallSilence)
+	cut := p.keeper.Silence() - storeSilence
 	switch {
-	case cut > weakerWait || cut > 0 && ratio >= equalCores:
+	case sign.Store && (cut > weakerWait || cut > 0 && ratio >= equalCores):
 		return "a peer reaches the store, this process does not"
-	case d.Settled() && ratio > betterCores:
+	case cut <= 0 && d.Settled() && ratio > betterCores:
 		return "a peer on a larger instance takes over"
 	}
 	return ""
@@ -205,7 +204,7 @@
 		notice, err := p.beat(ctx, owner)
 		if err == nil && !notice.Release && notice.Self == string(owner) && notice.Owner == string(owner) {
 			silent = time.Time{}
-			p.heard(notice)
+			p.heard(ctx, notice)
 			continue
 		}
 		if silent.IsZero() {
@@ -219,20 +218,32 @@
 	call, cancel := p.clock.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	_, offset := p.follower.Document()
-	return p.peer(to).Beat(call, &relay.Sign{Member: string(p.keeper.Member), Config: int64(offset), Store: p.follower.Fresh(), Cores: int64(millicores * p.settings.Cores)})
+	return p.peer(to).Beat(call, &relay.Sign{Member: string(p.keeper.Member), Config: int64(offset), Store: p.reaches(), Cores: int64(millicores * p.settings.Cores)})
 }
 
 // heard notes that the owner lives.
-func (p *Process) heard(notice *relay.Notice) {
+func (p *Process) heard(ctx context.Context, notice *relay.Notice) {
 	p.mu.Lock()
 	p.answered = p.clock.Now()
 	p.members = notice.Members
 	p.mu.Unlock()
+	if notice.Probe && p.keeper.Reach(ctx) {
+		p.mu.Lock()
+		p.reached = p.clock.Now()
+		p.mu.Unlock()
+	}
 	if len(notice.Document) > 0 && p.follower.Adopt(notice.Document, platform.Offset(notice.Config)) {
 		p.changed()
 	}
 }
 
+// reaches reports whether this process has reached the store lately at the owner's request.
+func (p *Process) reaches() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.reached.IsZero() && p.clock.Since(p.reached) < reachedTime
+}
+
 // missed decides what to do about an owner that gave no answer, or an answer that shows that it is not
 // the owner.
 func (p *Process) missed(ctx context.Context, owner tenure.Member, notice *relay.Notice, err error, silence time.Duration) {
--- a/process/process.go
+++ b/process/process.go
@@ -59,6 +59,8 @@
 	end      context.CancelFunc   // ends the tenure of owner
 	// answered is when the owner last answered a sign of life.
 	answered time.Time
+	// reached is when this process last reached the store at the owner's request.
+	reached time.Time
 	// members are other members that the owner has named; they are asked before it is replaced.
 	members []string
 	// signs is when each member last sent a sign of life to this process as the owner.
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -298,3 +298,27 @@
 	first.stop()
 	w.awaitDone(second, "desk", jobID(2))
 }
+
+// TestOwnerRefused guards against an owner that keeps the jobs although the store turns it away and serves
+// the others.
+func TestOwnerRefused(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	for range 2 {
+		w.AddMachine("desk", cores16, false)
+	}
+	front, refuse := w.Front()
+	w.startAt("entry-1", front)
+	second := w.start("entry-2")
+	w.submit(second, "desk", jobID(1), job(4000, 3000, 2))
+	refuse.Store(true)
+	begin := time.Now()
+	w.submit(second, "desk", jobID(2), job(4000, 50, 1))
+	// The owner gives way after 1.3 s without the store; on its own it would go on for 4 s.
+	require.Less(t, time.Since(begin), 3500*time.Millisecond)
+	for n := 1; n < 3; n++ {
+		w.awaitDone(second, "desk", jobID(n))
+		require.Equal(t, 1, w.Starts(jobID(n)+".0.0.0"))
+	}
+}
--- a/process/world_test.go
+++ b/process/world_test.go
@@ -78,10 +78,16 @@
 
 // start starts an entry and waits until it serves.
 func (w *world) start(id string) *entry {
+	w.t.Helper()
+	return w.startAt(id, w.StoreAddress)
+}
+
+// startAt starts an entry that calls the store at the given address.
+func (w *world) startAt(id, store string) *entry {
 	w.t.Helper()
 	e := &entry{settings: settings.Deployment{
 		ID: instance.ID(id), Centre: "z1", Callers: freeAddress(w.t), Ready: freeAddress(w.t), Peers: freeAddress(w.t),
-		Store: instance.Address(w.StoreAddress), Fleet: instance.Address(w.FleetAddress), Heartbeat: time.Second, Cores: 1,
+		Store: instance.Address(store), Fleet: instance.Address(w.FleetAddress), Heartbeat: time.Second, Cores: 1,
 		Contract: settings.Contract{
 			Grace: 5 * time.Second, Drain: 2 * time.Second, MaxLease: 6 * time.Second, Stop: 200 * time.Millisecond,
 			Status: time.Minute, Turn: 300 * time.Millisecond, Move: 150 * time.Millisecond, Maintenance: 150 * time.Millisecond,
--- a/standin/fabric/world.go
+++ b/standin/fabric/world.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -70,6 +71,18 @@
 	}
 }
 
+// Front returns another address of the store, and a switch that makes the store refuse calls there.
+func (w *World) Front() (address string, refuse *atomic.Bool) {
+	refuse = &atomic.Bool{}
+	return w.serve(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		if refuse.Load() {
+			rw.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.Store.ServeHTTP(rw, r)
+	})), refuse
+}
+
 func (w *World) check() {
 	for {
 		select {
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -287,6 +287,15 @@
 	}
 }
 
+// Reach reports whether this process reaches the claims, which are what an owner that cannot reach the
+// store would have to hand over.
+func (k *Keeper) Reach(ctx context.Context) bool {
+	call, cancel := k.Clock.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	_, _, err := k.newest(call)
+	return err == nil
+}
+
 // newest returns the newest claim and the offset after the last one.
 func (k *Keeper) newest(ctx context.Context) (claim, platform.Offset, error) {
 	records, end, err := k.Store.Newest(ctx, topic, part)
