--- a/balance/replay_test.go
+++ b/balance/replay_test.go
@@ -196,7 +196,7 @@
 			if !j.Ready(0, i, r.now) {
 				continue
 			}
-			d := &schedule.Demand{Job: j.ID, Step: i, Spec: j.Spec.Steps[i], Since: j.Accepted}
+			d := &schedule.Demand{Job: j.ID, Step: i, Spec: j.Spec.Steps[i]}
 			for n := range pass.Steps[i].Tasks {
 				if t := &pass.Steps[i].Tasks[n]; !t.Done && t.Places == nil {
 					d.Tasks = append(d.Tasks, n)
--- a/dispatch/discover.go
+++ b/dispatch/discover.go
@@ -118,12 +118,6 @@
 		d.reborn(s, l.Birth)
 		s.poke()
 	}
-	if l.State == worker.StateDraining && s.drained.IsZero() {
-		s.drained = d.clock.Now()
-	}
-	if l.State == worker.StateReady {
-		s.drained = time.Time{}
-	}
 	if l.Address != s.listing.Address {
 		s.caller = &platform.Worker{ID: l.ID, Address: l.Address, Waiting: d.clients.Waiting, Orders: d.clients.Orders}
 	}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -38,18 +38,12 @@
 type Bounds struct {
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease time.Duration
-	// Heartbeat is the time between two registrations of a worker.
-	Heartbeat time.Duration
 	// Status is how long the state of a job is told after its end.
 	Status time.Duration
-	// Stop is the longest time that a worker takes to stop a task.
-	Stop time.Duration
 	// Turn is the time for which no two processes may give orders for one machine.
 	Turn time.Duration
 	// Move and Maintenance are the times that a machine is away.
 	Move, Maintenance time.Duration
-	// Notice is how long a task must have been back at work before another of its step may be taken away.
-	Notice time.Duration
 }
 
 // Dispatcher is the owner of one tenure.
@@ -86,7 +80,6 @@
 	upkeep   upkeep
 	flows    map[queue.Name]*flow
 	advices  map[string]*advice
-	learned  map[string]*experience
 	counters Counters
 	// busy is the number of workers on which something runs.
 	busy int
@@ -177,7 +170,7 @@
 		store: o.Store, fleet: o.Fleet, advisor: o.Advisor, clients: o.Clients, bounds: o.Bounds, clock: o.Clock, log: o.Log, epoch: gained.Epoch, foreign: foreign,
 		began: o.Clock.Now(), ctx: ctx, kick: make(chan struct{}, 1), config: o.Config,
 		jobs: map[task.JobID]*job{}, stations: map[worker.ID]*station{}, listed: map[worker.ID]worker.Listing{},
-		runs: map[runID]*run{}, flows: map[queue.Name]*flow{}, advices: map[string]*advice{}, questions: make(chan question, maxQuestions), upkeep: upkeep{unfit: map[worker.MachineID]pool.Name{}}, learned: map[string]*experience{},
+		runs: map[runID]*run{}, flows: map[queue.Name]*flow{}, advices: map[string]*advice{}, questions: make(chan question, maxQuestions), upkeep: upkeep{unfit: map[worker.MachineID]pool.Name{}},
 	}
 }
 
@@ -291,9 +284,3 @@
 		}
 	}
 }
-
-// experience is what ended tasks of one kind have taught.
-type experience struct {
-	// ratio is the moving average of actual to estimated duration.
-	ratio float64
-}
--- a/dispatch/place.go
+++ b/dispatch/place.go
@@ -67,7 +67,7 @@
 	if progress.Done == spec.Count || !j.Ready(k, step, now) {
 		return nil
 	}
-	demand := &schedule.Demand{Job: j.ID, Occurrence: k, Step: step, Spec: spec, Priority: j.queue.Priority, Since: j.Accepted}
+	demand := &schedule.Demand{Job: j.ID, Occurrence: k, Step: step, Spec: spec, Priority: j.queue.Priority}
 	for i := range progress.Tasks {
 		t := &progress.Tasks[i]
 		if len(t.Places) > 0 {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -312,7 +312,6 @@
 	d.counters.Done++
 	if r.station != nil {
 		r.station.streak = 0
-		d.learn(r, now)
 	}
 	if r.step.Lasting {
 		return // a lasting task is started again however it ends
@@ -414,27 +413,3 @@
 func (d *Dispatcher) strayEnd(s *station, end worker.End, first bool) {
 	d.log.Debug(eventStrayEnd, "worker", s.id, "task", end.Key.String(), "run", end.Run, "cause", end.Cause, "first", first)
 }
-
-const (
-	// learnRate is the weight of a new observation in the average of durations.
-	learnRate = 0.1
-	// kindSeparator joins the parts of a kind of task.
-	kindSeparator = "/"
-)
-
-// kind returns the kind of task whose durations are alike.
-func kind(j *job, step *task.Step) string { return j.Queue + kindSeparator + step.Image }
-
-// learn updates the average ratio of actual to estimated durations.
-func (d *Dispatcher) learn(r *run, now time.Time) {
-	if r.step.Estimate <= 0 || r.confirmed.IsZero() {
-		return
-	}
-	ratio := now.Sub(r.confirmed).Seconds() / r.step.Estimate.Seconds()
-	e := d.learned[kind(r.job, r.step)]
-	if e == nil {
-		d.learned[kind(r.job, r.step)] = &experience{ratio: ratio}
-		return
-	}
-	e.ratio += learnRate * (ratio - e.ratio)
-}
--- a/dispatch/station.go
+++ b/dispatch/station.go
@@ -56,8 +56,8 @@
 	// listedEnd is the last end that was processed, storing the last that was given to the ledger, stored
 	// the last that the ledger has, and acked the last that the worker was told to forget.
 	listedEnd, storing, stored, acked worker.EndNumber
-	// heard is when the last look arrived, silent when calls began to go without an answer.
-	heard, silent time.Time
+	// silent is when calls began to go without an answer; zero while the worker answers.
+	silent time.Time
 	// strays is the number of runs in the last look that the owner does not know. Their room is unknown too, so
 	// the worker takes no tasks until they have ended.
 	strays int
@@ -76,8 +76,6 @@
 	idle time.Time
 	// leaving is set while the machine is to be emptied.
 	leaving bool
-	// drained is when the worker was first listed as draining.
-	drained time.Time
 }
 
 // poke lets the session look at its worker now.
@@ -118,7 +116,7 @@
 		id: l.ID, birth: l.Birth, listing: l, rack: rackOf(l.Labels), runs: map[runID]*run{},
 		caller: &platform.Worker{ID: l.ID, Address: l.Address, Waiting: d.clients.Waiting, Orders: d.clients.Orders},
 		orders: make(chan func(context.Context), maxOrders), wakeup: make(chan struct{}, 1), cancel: cancel,
-		heard: d.clock.Now(), idle: d.clock.Now(),
+		idle: d.clock.Now(),
 	}
 	d.stations[l.ID] = s
 	for _, r := range d.runs {
@@ -255,7 +253,7 @@
 	if !s.silent.IsZero() {
 		d.log.Info(eventHeard, "worker", s.id, "silent", now.Sub(s.silent))
 	}
-	s.heard, s.silent = now, time.Time{}
+	s.silent = time.Time{}
 	ended := d.looked(s, look, sent, now)
 	if s.impatient() {
 		return 2 * renewGap
--- a/process/process.go
+++ b/process/process.go
@@ -178,8 +178,7 @@
 	d := dispatch.New(ctx, gained, dispatch.Options{
 		Store: p.store, Fleet: p.fleet, Advisor: p.advisor, Clients: p.clients, Clock: p.clock, Log: p.log.With("epoch", epoch), Config: p.follower.Config(),
 		Bounds: dispatch.Bounds{
-			MaxLease: c.MaxLease, Heartbeat: p.settings.Heartbeat, Status: c.Status, Stop: c.Stop, Turn: c.Turn,
-			Move: c.Move, Maintenance: c.Maintenance, Notice: c.Notice,
+			MaxLease: c.MaxLease, Status: c.Status, Turn: c.Turn, Move: c.Move, Maintenance: c.Maintenance,
 		},
 	})
 	p.mu.Lock()
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -258,7 +258,7 @@
 	w.Publish(1, []string{"desk"}, "")
 	machine := w.AddMachine("desk", cores16, false)
 	w.AddMachine("desk", cores16, false)
-	require.NoError(t, w.Maintain(machine, 1))
+	require.NoError(t, w.Maintain(t.Context(), machine, 1))
 	e := w.start("entry-1")
 	require.Eventually(t, func() bool { return len(w.Workers()) == 2 }, patience, poll)
 	for n := range 6 {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -53,8 +53,6 @@
 	Left time.Duration
 	// Limit is the time after which completion counts for nothing.
 	Limit time.Time
-	// Since is when the job was accepted.
-	Since time.Time
 	// Tickets are the permissions of the advice service by worker; nil if the queue needs none.
 	Tickets map[worker.ID]string
 }
--- a/standin/fabric/caller.go
+++ b/standin/fabric/caller.go
@@ -1,6 +1,7 @@
 package fabric
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -46,9 +47,13 @@
 }
 
 // Maintain orders the maintenance of a machine as an earlier owner would.
-func (w *World) Maintain(machine string, wave int) error {
+func (w *World) Maintain(ctx context.Context, machine string, wave int) error {
 	body := fmt.Sprintf(`{"machine":%q,"wave":%d}`, machine, wave)
-	resp, err := http.Post("http://"+w.FleetAddress+"/api/machine-upkeep", "application/json", strings.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+w.FleetAddress+"/api/machine-upkeep", strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return err
 	}
