--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -314,7 +314,11 @@
 func (d *Dispatcher) candidate(w *waveState, m worker.Machine, s *station, loads map[pool.Name]float64) wave.Machine {
 	since, chosen := w.chosen[m.ID]
 	c := wave.Machine{ID: m.ID, Up: m.State == worker.MachineUp, Chosen: chosen, Since: since, Pool: m.Pool, Load: loads[m.Pool]}
-	if s == nil {
+	if p, ok := d.config.Pool(m.Pool); ok && p.Spare {
+		return c // switched off: nothing runs there
+	}
+	if s == nil || !s.fenced {
+		c.Up = false // what runs there is not known yet
 		return c
 	}
 	for _, r := range s.runs {
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -338,3 +338,27 @@
 	require.Zero(t, w.Starts(fabric.JobID(2)+".0.0.0"))
 	require.Zero(t, w.Starts(fabric.JobID(2)+".0.0.1"))
 }
+
+// TestWaveOfNewOwner guards against maintenance that takes tasks along because the new owner has not yet
+// heard of the workers on the machines of a wave.
+func TestWaveOfNewOwner(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	var machines []string
+	for range 4 {
+		machines = append(machines, w.AddMachine("desk", cores16, false))
+	}
+	first, second := w.start("entry-1"), w.start("entry-2")
+	for n := range 4 {
+		w.submit(second, "desk", fabric.JobID(n), fabric.Job(10000, 2500, 1))
+	}
+	require.Eventually(t, func() bool { return w.Starts(fabric.JobID(3)+".0.0.0") == 1 }, patience, poll)
+	w.RequestWave(1, machines, 20, 4)
+	first.stop()
+	for n := range 4 {
+		w.awaitDone(second, "desk", fabric.JobID(n))
+		require.Equal(t, 1, w.Starts(fabric.JobID(n)+".0.0.0"), "a task was taken along")
+	}
+	require.Eventually(t, func() bool { return w.WaveCompleted(1) }, patience, poll)
+}
