tenure: an owner that gave way stays released; larger instances go first

Small instances won it in the first place, because the handicap held for a vacant ownership only.

Change: a member that gave way says so to every sign of life until it knows a later owner, and does not claim again for 1.5 s. The handicap counts on every path and against the largest member that the owner knows. Silence counts from the last answer, and a doubtful answer is followed by the next sign after 100 ms: replacement after 1.4 s instead of 2.2 s. The judgement is pure code, tenure.Watch.

--- a/process/peers.go
+++ b/process/peers.go
@@ -20,8 +20,8 @@
 	beatPeriod = 350 * time.Millisecond
 	// beatTimeout bounds the answer to one. Peers are a few milliseconds away; a slow one takes some ten.
 	beatTimeout = 500 * time.Millisecond
-	// ownerSilence is how long the owner may be silent before its peers replace it.
-	ownerSilence = 1200 * time.Millisecond
+	// beatAgain is the pause after an answer that casts doubt on the owner.
+	beatAgain = 100 * time.Millisecond
 	// storeSilence is how long the store may be silent before an owner gives way to a peer that reaches it.
 	storeSilence = 1300 * time.Millisecond
 	// probeSilence is how long the store may be silent before an owner asks its peers to try, reachedTime how
@@ -36,8 +36,8 @@
 	// owner costs some 100 ms of placing.
 	betterCores = 1.5
 	millicores  = 1000
-	// fullCores is the processor with which a process claims a vacant ownership at once; handicap is how long
-	// one with none would leave it to others.
+	// fullCores is the processor of the largest instances until the owner has told what it is. One that has it
+	// claims a vacant ownership at once; handicap is how long one with none would leave it to others.
 	fullCores = 0.8
 	handicap  = 600 * time.Millisecond
 	// witnesses is the number of other members that are asked before the owner is replaced.
@@ -46,9 +46,10 @@
 	ownerRetry = time.Second
 )
 
-// handicapOf returns how long a process with the given processor leaves a vacant ownership to others.
-func handicapOf(cores float64) time.Duration {
-	return time.Duration(max(0, 1-cores/fullCores) * float64(handicap))
+// handicapOf returns how long a process leaves a vacant ownership to others, by its processor and that of
+// the largest member.
+func handicapOf(cores, largest float64) time.Duration {
+	return time.Duration(max(0, 1-cores/largest) * float64(handicap))
 }
 
 // server answers peers.
@@ -99,10 +100,11 @@
 	}
 	d := p.dispatcher()
 	if d == nil {
+		notice.Release = p.keeper.Yielded()
 		return notice, nil
 	}
 	notice.Silence = 0
-	notice.Members = p.remember(tenure.Member(sign.Member))
+	notice.Members, notice.Cores = p.remember(sign)
 	notice.Probe = p.keeper.Silence() > probeSilence
 	if reason := p.giveUp(d, sign); reason != "" {
 		p.keeper.Resign(reason)
@@ -124,23 +126,34 @@
 	return ""
 }
 
-// remember notes a sign of life and returns the other members that have sent one lately.
-func (p *Process) remember(from tenure.Member) []string {
+// member is what an owner knows of another member.
+type member struct {
+	// heard is when it last sent a sign of life.
+	heard time.Time
+	cores int64
+}
+
+// remember notes a sign of life. It returns other members that have sent one lately, and the most cores that
+// a member has, in thousandths.
+func (p *Process) remember(sign *relay.Sign) ([]string, int64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
-	p.signs[from] = now
+	from := tenure.Member(sign.Member)
+	p.signs[from] = member{heard: now, cores: sign.Cores}
 	var members []string
+	cores := int64(millicores * p.settings.Cores)
 	for m, last := range p.signs {
-		if now.Sub(last) > ownerSilence {
+		if now.Sub(last.heard) > tenure.Silence {
 			delete(p.signs, m)
 			continue
 		}
+		cores = max(cores, last.cores)
 		if m != from && len(members) < witnesses {
 			members = append(members, string(m))
 		}
 	}
-	return members
+	return members, cores
 }
 
 // Forward implements ingress.Forwarder.
@@ -191,29 +204,46 @@
 
 // beats tells the owner that this process lives, and replaces an owner that does not.
 func (p *Process) beats(ctx context.Context) {
-	var silent time.Time // when the owner fell silent
-	var last tenure.Member
-	for p.clock.Sleep(ctx, beatPeriod) == nil {
+	var watch tenure.Watch
+	pause := beatPeriod
+	for p.clock.Sleep(ctx, pause) == nil {
+		pause = beatPeriod
 		owner := p.keeper.Owner()
-		if owner != last {
-			silent, last = time.Time{}, owner
-		}
+		watch.Follow(owner, p.clock.Now())
 		if owner == "" || owner == p.keeper.Member || p.stopping.Load() {
 			continue
 		}
+		sent := p.clock.Now()
 		notice, err := p.beat(ctx, owner)
-		if err == nil && !notice.Release && notice.Self == string(owner) && notice.Owner == string(owner) {
-			silent = time.Time{}
+		answer := answerOf(owner, notice, err)
+		if answer == tenure.AnswerOwner {
 			p.heard(ctx, notice)
-			continue
-		}
-		if silent.IsZero() {
-			silent = p.clock.Now()
+		} else {
+			pause = beatAgain
 		}
-		p.missed(ctx, owner, notice, err, p.clock.Since(silent))
+		now := p.clock.Now()
+		step, departure := watch.Judge(answer, sent, now, p.keeper.Handicap())
+		p.act(ctx, owner, step, departure, watch.Silent(now))
 	}
 }
 
+// answerOf returns what the answer of a member to a sign of life says.
+func answerOf(owner tenure.Member, notice *relay.Notice, err error) tenure.Answer {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return tenure.AnswerRefused
+	case err != nil:
+		return tenure.AnswerNone
+	case notice.Self != string(owner):
+		return tenure.AnswerOther
+	case notice.Release:
+		return tenure.AnswerYielded
+	case notice.Owner != string(owner):
+		return tenure.AnswerMember
+	}
+	return tenure.AnswerOwner
+}
+
 func (p *Process) beat(ctx context.Context, to tenure.Member) (*relay.Notice, error) {
 	call, cancel := p.clock.WithTimeout(ctx, beatTimeout)
 	defer cancel()
@@ -227,6 +257,9 @@
 	p.answered = p.clock.Now()
 	p.members = notice.Members
 	p.mu.Unlock()
+	if notice.Cores > 0 {
+		p.keeper.SetHandicap(handicapOf(p.settings.Cores, float64(notice.Cores)/millicores))
+	}
 	if notice.Probe && p.keeper.Reach(ctx) {
 		p.mu.Lock()
 		p.reached = p.clock.Now()
@@ -244,21 +277,18 @@
 	return !p.reached.IsZero() && p.clock.Since(p.reached) < reachedTime
 }
 
-// missed decides what to do about an owner that gave no answer, or an answer that shows that it is not
-// the owner.
-func (p *Process) missed(ctx context.Context, owner tenure.Member, notice *relay.Notice, err error, silence time.Duration) {
-	switch {
-	case err == nil && notice.Self != string(owner):
-		// Another life answers at the address: the owner's process has ended.
-		p.keeper.Replace(ctx, owner, tenure.DepartureEnded)
-	case err == nil && notice.Release:
-		p.keeper.Replace(ctx, owner, tenure.DepartureYielded)
-	case err == nil:
+// act carries out what the answers of the owner call for.
+func (p *Process) act(ctx context.Context, owner tenure.Member, step tenure.Step, departure tenure.Departure, silence time.Duration) {
+	switch step {
+	case tenure.StepWait:
+	case tenure.StepForget:
 		p.keeper.Forget(owner) // the store names the owner
-	case errors.Is(err, syscall.ECONNREFUSED) && silence >= p.keeper.Handicap || silence > ownerSilence+p.keeper.Handicap:
+	case tenure.StepReplace:
+		p.keeper.Replace(ctx, owner, departure)
+	case tenure.StepAsk:
 		if p.confirmed(ctx, owner) {
-			p.log.Info(eventSilent, "owner", owner, "silence", silence, "error", err)
-			p.keeper.Replace(ctx, owner, tenure.DepartureSilent)
+			p.log.Info(eventSilent, "owner", owner, "silence", silence)
+			p.keeper.Replace(ctx, owner, departure)
 		}
 	}
 }
--- a/process/process.go
+++ b/process/process.go
@@ -63,8 +63,8 @@
 	reached time.Time
 	// members are other members that the owner has named; they are asked before it is replaced.
 	members []string
-	// signs is when each member last sent a sign of life to this process as the owner.
-	signs map[tenure.Member]time.Time
+	// signs are the members that sent a sign of life to this process as the owner.
+	signs map[tenure.Member]member
 }
 
 // New returns an entry.
@@ -78,10 +78,11 @@
 		advisor: &platform.Advisor{Address: s.Advisor, HTTP: client},
 		clients: dispatch.Clients{Waiting: platform.NewHTTP(workerIdle), Orders: platform.NewHTTP(workerIdle)},
 		peers:   platform.NewHTTP(peerIdle),
-		signs:   map[tenure.Member]time.Time{},
+		signs:   map[tenure.Member]member{},
 	}
 	p.follower = &operator.Follower{Store: p.store, Clock: clock, Log: log, Changed: p.changed}
-	p.keeper = &tenure.Keeper{Store: p.store, Member: tenure.NewMember(s.Peers, clock.Now()), Clock: clock, Log: log, Changed: p.tenure, Handicap: handicapOf(s.Cores)}
+	p.keeper = &tenure.Keeper{Store: p.store, Member: tenure.NewMember(s.Peers, clock.Now()), Clock: clock, Log: log, Changed: p.tenure}
+	p.keeper.SetHandicap(handicapOf(s.Cores, fullCores))
 	p.handler = &ingress.Handler{Config: p.follower.Config, Forward: p, Clock: clock, Log: log}
 	return p
 }
@@ -250,7 +251,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.answered.IsZero() && p.clock.Since(p.answered) < ownerSilence
+	return !p.answered.IsZero() && p.clock.Since(p.answered) < tenure.Silence
 }
 
 func (p *Process) internal() http.Handler {
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -26,6 +26,9 @@
 	// callTimeout bounds one call. The store answers in 4 ms; when it is slow, in about 0.4 s, and an append
 	// waits for others besides.
 	callTimeout = 1200 * time.Millisecond
+	// reclaimDelay is how long a process that gave way leaves the ownership to its peers. They send a sign of
+	// life each 350 ms and learn from the answer that they may replace it.
+	reclaimDelay = 1500 * time.Millisecond
 	// topic holds the claims under one key; the newest names the owner.
 	topic platform.Topic = "keyed.owner"
 	// part is the only partition of the claims.
@@ -77,7 +80,11 @@
 }
 
 // Lost says that this process is no longer the owner.
-type Lost struct{ Reason string }
+type Lost struct {
+	Reason string
+	// yields is set if the ownership is left to the peers.
+	yields bool
+}
 
 func (Gained) change() {}
 func (Lost) change()   {}
@@ -97,9 +104,6 @@
 	Member Member
 	Clock  *timer.Service
 	Log    event.Log
-	// Handicap is how long this process leaves a vacant ownership to others. Processes on larger instances
-	// have a lower one.
-	Handicap time.Duration
 	// Changed is called for each change of the ownership, in order and not concurrently.
 	Changed func(Change)
 
@@ -116,10 +120,37 @@
 	owner     Member
 	// vacant is when this process found that there is no owner; zero while there is one.
 	vacant time.Time
+	// handicap is how long this process leaves a vacant ownership to others.
+	handicap time.Duration
+	// yielded is when this process gave way to its peers; zero once a later claim is known.
+	yielded time.Time
 	// closed is set once this process takes no more part.
 	closed bool
 }
 
+// Handicap returns how long this process leaves a vacant ownership to others.
+func (k *Keeper) Handicap() time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.handicap
+}
+
+// SetHandicap sets how long this process leaves a vacant ownership to others. Processes on larger
+// instances have a lower one.
+func (k *Keeper) SetHandicap(handicap time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.handicap = handicap
+}
+
+// Yielded reports whether this process has given way and knows of no later owner. Any peer may then replace
+// it, not only the one whose sign of life it answered: that answer may be lost or late.
+func (k *Keeper) Yielded() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.yielded.IsZero()
+}
+
 // Owner returns the member that this process believes to be the owner; empty if it knows none.
 func (k *Keeper) Owner() Member {
 	k.mu.Lock()
@@ -133,7 +164,7 @@
 	defer k.mu.Unlock()
 	if k.epoch == 0 && owner != k.Member {
 		k.owner = owner
-		k.vacant = time.Time{}
+		k.vacant, k.yielded = time.Time{}, time.Time{}
 	}
 }
 
@@ -262,7 +293,7 @@
 	if k.vacant.IsZero() {
 		k.vacant = k.Clock.Now()
 	}
-	early := k.Clock.Since(k.vacant) < k.Handicap
+	early := k.Clock.Since(k.vacant) < k.handicap || !k.yielded.IsZero() && k.Clock.Since(k.yielded) < reclaimDelay
 	k.mu.Unlock()
 	if closed || early && t.instead == "" {
 		return
@@ -319,7 +350,7 @@
 }
 
 // Resign gives the ownership up. A peer is to claim it.
-func (k *Keeper) Resign(reason string) { k.apply(Lost{Reason: reason}) }
+func (k *Keeper) Resign(reason string) { k.apply(Lost{Reason: reason, yields: true}) }
 
 // apply carries a change of the ownership out.
 func (k *Keeper) apply(c Change) {
@@ -334,7 +365,7 @@
 		}
 		k.epoch, k.last = c.Epoch, c.Epoch
 		k.owner = k.Member
-		k.vacant = time.Time{}
+		k.vacant, k.yielded = time.Time{}, time.Time{}
 	case Lost:
 		if k.epoch == 0 {
 			k.mu.Unlock()
@@ -342,6 +373,9 @@
 		}
 		k.epoch = 0
 		k.owner = ""
+		if c.yields {
+			k.yielded = k.Clock.Now()
+		}
 	}
 	k.mu.Unlock()
 	k.Changed(c)
--- /dev/null
+++ b/tenure/watch.go
@@ -0,0 +1,86 @@
+package tenure
+
+import "time"
+
+// Silence is how long the owner may be silent before its peers replace it.
+const Silence = 1200 * time.Millisecond
+
+// Answer is what came back on a sign of life to the owner.
+type Answer string
+
+// Answers to a sign of life.
+const (
+	AnswerOwner   Answer = "owner"   // it is the owner
+	AnswerYielded Answer = "yielded" // it has given way
+	AnswerOther   Answer = "other"   // another life answers at the address: the owner's process has ended
+	AnswerMember  Answer = "member"  // it lives, and is not the owner
+	AnswerRefused Answer = "refused" // nothing listens at the address
+	AnswerNone    Answer = "none"    // there was no answer
+)
+
+// Step is what a member does about the owner.
+type Step string
+
+// Steps of a member.
+const (
+	StepWait    Step = "wait"    // go on with signs of life
+	StepForget  Step = "forget"  // ask the store who the owner is
+	StepReplace Step = "replace" // claim the ownership
+	StepAsk     Step = "ask"     // claim it unless another member hears the owner
+)
+
+// Watch judges the owner by its answers. After a loss of power all members find a former owner at the same
+// time, and the smallest instance needs the fewest microseconds of work to claim first; so each leaves the
+// ownership to larger ones for its handicap.
+type Watch struct {
+	// owner is the member that is watched, since when it last answered as the owner or became known.
+	owner Member
+	since time.Time
+	// strange is when it first gave another answer; zero while it answers as the owner.
+	strange time.Time
+}
+
+// Follow sets the member that is watched.
+func (w *Watch) Follow(owner Member, now time.Time) {
+	if w.owner != owner {
+		*w = Watch{owner: owner, since: now}
+	}
+}
+
+// Silent returns for how long the owner has not answered as the owner.
+func (w *Watch) Silent(now time.Time) time.Duration { return now.Sub(w.since) }
+
+// Judge takes over the answer to a sign of life that was sent at the given time, and returns what to do
+// with it and, for a replacement, how the owner departed.
+func (w *Watch) Judge(answer Answer, sent, now time.Time, handicap time.Duration) (Step, Departure) {
+	if answer == AnswerOwner {
+		w.since, w.strange = sent, time.Time{}
+		return StepWait, DepartureNone
+	}
+	if w.strange.IsZero() {
+		w.strange = now
+	}
+	late := now.Sub(w.strange) >= handicap
+	switch answer {
+	case AnswerMember:
+		return StepForget, DepartureNone
+	case AnswerOther:
+		if late {
+			return StepReplace, DepartureEnded
+		}
+	case AnswerYielded:
+		if late {
+			return StepReplace, DepartureYielded
+		}
+	case AnswerRefused:
+		if late {
+			return StepAsk, DepartureSilent
+		}
+	case AnswerNone:
+		if w.Silent(now) > Silence+handicap {
+			return StepAsk, DepartureSilent
+		}
+	case AnswerOwner:
+	}
+	return StepWait, DepartureNone
+}
