dispatch: record orders for machines; a new owner leaves only those alone

Cause: after a change of the owner no machine was moved or maintained for a turn of 3 s, since the earlier owner might just have given an order for any of them. Bursts last about as long.

Change: an order is sent once the ledger names its machine. The next owner finds the notes, reserves these machines for the turn, and uses all others at once; an earlier owner cannot add notes, because the ledger is fenced. The stand-in reports orders of two holders within a turn. Members that doubt the owner repeat their signs in steps of 250 ms and ask witnesses at once, so that handicaps tell.

--- a/dispatch/balance.go
+++ b/dispatch/balance.go
@@ -93,7 +93,7 @@
 	}
 	stations := d.living()
 	for _, m := range d.upkeep.machines {
-		d.describe(pools, m, stations[m.ID])
+		d.describe(pools, m, stations[m.ID], now)
 	}
 	for _, move := range balance.Plan(list, balance.Default(), now) {
 		d.move(move, now)
@@ -142,7 +142,7 @@
 }
 
 // describe adds a machine to its pool.
-func (d *Dispatcher) describe(pools map[pool.Name]*balance.Pool, m worker.Machine, s *station) {
+func (d *Dispatcher) describe(pools map[pool.Name]*balance.Pool, m worker.Machine, s *station, now time.Time) {
 	order, ordered := d.upkeep.ordered[m.ID]
 	if ordered && order.to != "" {
 		if b := pools[order.to]; b != nil {
@@ -155,7 +155,7 @@
 		return
 	}
 	machine := balance.Machine{ID: m.ID, Cores: m.Capacity.CPU}
-	machine.Held = ordered || m.State != worker.MachineUp
+	machine.Held = ordered || m.State != worker.MachineUp || d.reserved(m.ID, now)
 	if s != nil {
 		machine.Idle = len(s.runs) == 0
 		machine.Since = s.idle
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -61,10 +61,12 @@
 	// foreign is how long runs of the earlier owner are kept on workers that this one cannot reach: the
 	// earlier owner may have renewed their leases until its tenure ended.
 	foreign time.Duration
-	// turn is how long this owner leaves machines alone, because another may just have given orders for them.
-	turn time.Duration
-	ctx  context.Context
-	kick chan struct{}
+	// turn is how long this owner leaves machines alone for which the earlier one may just have given an order,
+	// from opened on, when the ledger was opened and earlier owners were fenced.
+	turn   time.Duration
+	opened time.Time
+	ctx    context.Context
+	kick   chan struct{}
 	// questions wait for the advice service.
 	questions chan question
 
--- a/dispatch/durable.go
+++ b/dispatch/durable.go
@@ -168,6 +168,7 @@
 func (d *Dispatcher) restore(l *ledger.Ledger, records []platform.Record) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.opened = d.clock.Now()
 	progress := map[task.JobID][]byte{}
 	for _, r := range records {
 		if id, ok := strings.CutPrefix(r.Key, progressKey); ok && len(r.Value) > 0 {
@@ -178,6 +179,9 @@
 		if strings.HasPrefix(r.Key, waveKey) && len(r.Value) > 0 {
 			d.restoreWave(r.Value)
 		}
+		if machine, ok := strings.CutPrefix(r.Key, orderKey); ok && len(r.Value) > 0 {
+			d.restoreOrder(worker.MachineID(machine), d.opened)
+		}
 		id, ok := strings.CutPrefix(r.Key, intakeKey)
 		if !ok || len(r.Value) == 0 {
 			continue
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -34,6 +34,10 @@
 	machines map[worker.MachineID]worker.Machine
 	// ordered are the orders for machines that may still be in force.
 	ordered map[worker.MachineID]errand
+	// recorded are the machines that the ledger names as ordered, inherited those of them that an earlier owner
+	// may have given an order for.
+	recorded  map[worker.MachineID]*record
+	inherited map[worker.MachineID]bool
 	// unfit are the pools that the platform refused for a machine.
 	unfit map[worker.MachineID]pool.Name
 	// status publishes the state of waves; nil until it is open.
@@ -157,9 +161,6 @@
 	if !d.openStatus() {
 		return
 	}
-	if d.clock.Sleep(d.ctx, d.turn) != nil {
-		return
-	}
 	for {
 		if d.Loaded() {
 			d.maintainOnce()
@@ -230,6 +231,7 @@
 		}
 	}
 	d.rebalance(now)
+	d.forgetOrders(now)
 	d.wake()
 }
 
@@ -270,7 +272,7 @@
 		}
 		left++
 		if !ordered {
-			machines = append(machines, d.candidate(w, m, stations[id], loads))
+			machines = append(machines, d.candidate(w, m, stations[id], loads, now))
 		}
 	}
 	if left == 0 {
@@ -311,9 +313,13 @@
 }
 
 // candidate describes a machine that still has to be maintained.
-func (d *Dispatcher) candidate(w *waveState, m worker.Machine, s *station, loads map[pool.Name]float64) wave.Machine {
+func (d *Dispatcher) candidate(w *waveState, m worker.Machine, s *station, loads map[pool.Name]float64, now time.Time) wave.Machine {
 	since, chosen := w.chosen[m.ID]
 	c := wave.Machine{ID: m.ID, Up: m.State == worker.MachineUp, Chosen: chosen, Since: since, Pool: m.Pool, Load: loads[m.Pool]}
+	if d.reserved(m.ID, now) {
+		c.Up = false
+		return c
+	}
 	if p, ok := d.config.Pool(m.Pool); ok && p.Spare {
 		return c // switched off: nothing runs there
 	}
@@ -336,6 +342,7 @@
 func (d *Dispatcher) empty(w *waveState, s *station, id worker.MachineID, now time.Time) {
 	if _, ok := w.chosen[id]; !ok {
 		w.chosen[id] = now
+		d.recordOrder(id, nil)
 	}
 	if s == nil {
 		return
@@ -391,55 +398,6 @@
 	})
 }
 
-// send gives an order for a machine until it has an answer. The platform answers a repeated order as it
-// answered the first one.
-func (d *Dispatcher) send(id worker.MachineID, e errand, call func(context.Context) error, confirmed func()) {
-	if d.upkeep.ordered == nil {
-		d.upkeep.ordered = map[worker.MachineID]errand{}
-	}
-	if s := d.living()[id]; s != nil {
-		e.birth = s.birth
-	}
-	d.upkeep.ordered[id] = e
-	go func() {
-		for {
-			bound, cancel := d.clock.WithTimeout(d.ctx, dutyTimeout)
-			err := call(bound)
-			cancel()
-			if d.ctx.Err() != nil || d.answeredFor(id, e, err, confirmed) {
-				return
-			}
-			if d.clock.Sleep(d.ctx, machinePeriod) != nil {
-				return
-			}
-		}
-	}()
-}
-
-// answeredFor takes over the answer to an order for a machine. It reports whether the order need not be repeated.
-func (d *Dispatcher) answeredFor(id worker.MachineID, e errand, err error, confirmed func()) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if err != nil {
-		d.log.Info(eventDuty, "machine", id, "to", e.to, "error", err)
-		if !platform.IsRefused(err) {
-			return false
-		}
-		delete(d.upkeep.ordered, id)
-		if platform.IsInvalid(err) {
-			d.upkeep.unfit[id] = e.to
-		}
-		return true
-	}
-	now := d.clock.Now()
-	e.since = now
-	if _, away := d.upkeep.ordered[id]; away {
-		d.upkeep.ordered[id] = e
-	}
-	confirmed()
-	return true
-}
-
 // publish writes the state of a wave for the operator.
 func (d *Dispatcher) publish(number wave.Number, completed bool) {
 	d.upkeep.status.Write([]platform.Record{platform.WaveStatus(number, completed)}, nil)
--- a/dispatch/upkeep_test.go
+++ b/dispatch/upkeep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -18,9 +19,9 @@
 	d := New(t.Context(), tenure.Gained{Epoch: 1}, Options{Clock: &timer.Service{}, Config: config})
 	w := &waveState{}
 	machine := worker.Machine{ID: "m", Pool: "desk", State: worker.MachineUp}
-	require.False(t, d.candidate(w, machine, nil, nil).Up, "the worker is not known yet")
-	require.False(t, d.candidate(w, machine, &station{}, nil).Up, "nobody has looked at the worker yet")
-	require.True(t, d.candidate(w, machine, &station{fenced: true}, nil).Up)
+	require.False(t, d.candidate(w, machine, nil, nil, time.Now()).Up, "the worker is not known yet")
+	require.False(t, d.candidate(w, machine, &station{}, nil, time.Now()).Up, "nobody has looked at the worker yet")
+	require.True(t, d.candidate(w, machine, &station{fenced: true}, nil, time.Now()).Up)
 	machine.Pool = "spare"
-	require.True(t, d.candidate(w, machine, nil, nil).Up, "a machine that is switched off runs nothing")
+	require.True(t, d.candidate(w, machine, nil, nil, time.Now()).Up, "a machine that is switched off runs nothing")
 }
--- a/process/peers.go
+++ b/process/peers.go
@@ -20,8 +20,10 @@
 	beatPeriod = 350 * time.Millisecond
 	// beatTimeout bounds the answer to one. Peers are a few milliseconds away; a slow one takes some ten.
 	beatTimeout = 500 * time.Millisecond
-	// beatAgain is the pause after an answer that casts doubt on the owner.
-	beatAgain = 100 * time.Millisecond
+	// beatAgain is the pause after an answer that casts doubt on the owner, beatDoubt bounds the answer to the
+	// next sign. Their sum is the step in which the handicaps of members tell.
+	beatAgain = 50 * time.Millisecond
+	beatDoubt = 200 * time.Millisecond
 	// storeSilence is how long the store may be silent before an owner gives way to a peer that reaches it.
 	storeSilence = 1300 * time.Millisecond
 	// probeSilence is how long the store may be silent before an owner asks its peers to try, reachedTime how
@@ -207,23 +209,28 @@
 	var watch tenure.Watch
 	pause := beatPeriod
 	for p.clock.Sleep(ctx, pause) == nil {
-		pause = beatPeriod
 		owner := p.keeper.Owner()
 		watch.Follow(owner, p.clock.Now())
+		pause = beatPeriod
 		if owner == "" || owner == p.keeper.Member || p.stopping.Load() {
 			continue
 		}
+		bound := beatTimeout
+		if watch.Doubtful() {
+			bound = beatDoubt
+		}
 		sent := p.clock.Now()
-		notice, err := p.beat(ctx, owner)
+		notice, err := p.beat(ctx, owner, bound)
 		answer := answerOf(owner, notice, err)
 		if answer == tenure.AnswerOwner {
 			p.heard(ctx, notice)
-		} else {
-			pause = beatAgain
 		}
 		now := p.clock.Now()
 		step, departure := watch.Judge(answer, sent, now, p.keeper.Handicap())
 		p.act(ctx, owner, step, departure, watch.Silent(now))
+		if watch.Doubtful() {
+			pause = beatAgain
+		}
 	}
 }
 
@@ -244,8 +251,8 @@
 	return tenure.AnswerOwner
 }
 
-func (p *Process) beat(ctx context.Context, to tenure.Member) (*relay.Notice, error) {
-	call, cancel := p.clock.WithTimeout(ctx, beatTimeout)
+func (p *Process) beat(ctx context.Context, to tenure.Member, bound time.Duration) (*relay.Notice, error) {
+	call, cancel := p.clock.WithTimeout(ctx, bound)
 	defer cancel()
 	_, offset := p.follower.Document()
 	return p.peer(to).Beat(call, &relay.Sign{Member: string(p.keeper.Member), Config: int64(offset), Store: p.reaches(), Cores: int64(millicores * p.settings.Cores)})
@@ -293,14 +300,21 @@
 	}
 }
 
-// confirmed reports whether no other member hears the owner either.
+// confirmed reports whether no other member hears the owner either. The members are asked at the same time,
+// since some may have gone with the owner.
 func (p *Process) confirmed(ctx context.Context, owner tenure.Member) bool {
 	p.mu.Lock()
 	members := p.members
 	p.mu.Unlock()
+	hears := make(chan bool, len(members))
 	for _, m := range members {
-		notice, err := p.beat(ctx, tenure.Member(m))
-		if err == nil && notice.Owner == string(owner) && notice.Silence >= 0 && notice.Silence < beatPeriod.Milliseconds()+beatTimeout.Milliseconds() {
+		go func() {
+			notice, err := p.beat(ctx, tenure.Member(m), beatDoubt)
+			hears <- err == nil && notice.Owner == string(owner) && notice.Silence >= 0 && notice.Silence < beatPeriod.Milliseconds()+beatTimeout.Milliseconds()
+		}()
+	}
+	for range members {
+		if <-hears {
 			return false
 		}
 	}
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -362,3 +362,29 @@
 	}
 	require.Eventually(t, func() bool { return w.WaveCompleted(1) }, patience, poll)
 }
+
+// TestOrdersOfNewOwner guards against a new owner that leaves all machines alone for a turn, although the
+// earlier one gave orders for one of them only, and against one that does not leave that one alone.
+func TestOrdersOfNewOwner(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Turn = turnBound
+	w.Publish(1, []string{"desk"}, "")
+	var machines []string
+	for range 4 {
+		machines = append(machines, w.AddMachine("desk", cores16, false))
+	}
+	front, refuse := w.Front()
+	w.startAt("entry-1", front)
+	second := w.start("entry-2")
+	w.RequestWave(1, machines[:1], 30, 1)
+	require.Eventually(t, func() bool { return w.WaveCompleted(1) }, patience, poll)
+	refuse.Store(true)
+	w.submit(second, "desk", fabric.JobID(1), fabric.Job(4000, 50, 1)) // the second entry is the owner now
+	w.RequestWave(2, machines, 30, 4)
+	begin := time.Now()
+	require.Eventually(t, func() bool { return len(w.Orders()) == len(machines) }, patience, poll)
+	require.Less(t, time.Since(begin), turnBound/2, "machines without an order had to wait")
+	require.Eventually(t, func() bool { return w.WaveCompleted(2) }, patience, poll)
+	require.Len(t, w.Orders(), len(machines)+1)
+}
--- a/process/world_test.go
+++ b/process/world_test.go
@@ -26,6 +26,8 @@
 	patience = 30 * time.Second
 	poll     = 20 * time.Millisecond
 	cores16  = 16000
+	// turnBound is the time in which two entries may not give orders for one machine.
+	turnBound = 4 * time.Second
 )
 
 // entry is an entry under test.
@@ -90,7 +92,7 @@
 		Store: instance.Address(store), Fleet: instance.Address(w.FleetAddress), Heartbeat: time.Second, Cores: 1,
 		Contract: settings.Contract{
 			Grace: 5 * time.Second, Drain: 2 * time.Second, MaxLease: 6 * time.Second, Stop: 200 * time.Millisecond,
-			Status: time.Minute, Turn: 300 * time.Millisecond, Move: 150 * time.Millisecond, Maintenance: 150 * time.Millisecond,
+			Status: time.Minute, Turn: turnBound, Move: 150 * time.Millisecond, Maintenance: 150 * time.Millisecond,
 			Notice: time.Second,
 		},
 	}}
--- a/standin/fabric/world.go
+++ b/standin/fabric/world.go
@@ -14,6 +14,8 @@
 // World is a platform with its workers and machines. Close ends it.
 type World struct {
 	Store Store
+	// Turn is the time in which two holders may not give orders for one machine. It is set before entries start.
+	Turn time.Duration
 	// URL addresses of the services, without a scheme.
 	StoreAddress, FleetAddress string
 
@@ -28,9 +30,16 @@
 	starts     map[string]int
 	noted      map[string]bool
 	orders     []string
+	holders    map[string]turn // by machine
 	quit       chan struct{}
 }
 
+// turn is the last order for a machine.
+type turn struct {
+	name string
+	at   time.Time
+}
+
 const (
 	// awayTime is how long a machine is away for a move or maintenance.
 	awayTime = 150 * time.Millisecond
@@ -42,7 +51,7 @@
 func NewWorld() *World {
 	w := &World{
 		workers: map[string]*Worker{}, machines: map[string]string{}, away: map[string]bool{}, running: map[string]string{},
-		starts: map[string]int{}, noted: map[string]bool{}, quit: make(chan struct{}),
+		starts: map[string]int{}, noted: map[string]bool{}, quit: make(chan struct{}), holders: map[string]turn{},
 	}
 	w.StoreAddress = w.serve(&w.Store)
 	w.FleetAddress = w.serve(http.HandlerFunc(w.fleet))
@@ -199,13 +208,14 @@
 		reply(rw, http.StatusConflict, map[string]string{"reason": "busy"})
 		return
 	}
-	if done := r.URL.Path + body.Machine; strings.HasSuffix(r.URL.Path, "machine-upkeep") && w.noted[done] {
+	if done := fmt.Sprintf("%s/%s/%d", r.URL.Path, body.Machine, body.Wave); strings.HasSuffix(r.URL.Path, "machine-upkeep") && w.noted[done] {
 		w.mu.Unlock()
 		rw.WriteHeader(http.StatusOK)
 		return
 	} else if strings.HasSuffix(r.URL.Path, "machine-upkeep") {
 		w.noted[done] = true
 	}
+	w.turns(body.Machine, r.Header.Get("X-Lease-Holder"))
 	to := pool
 	if strings.HasSuffix(r.URL.Path, "machine-move") {
 		to = body.Pool
@@ -233,6 +243,15 @@
 	rw.WriteHeader(http.StatusOK)
 }
 
+// turns notes the holder that ordered a machine, and that it was another one less than Turn before.
+func (w *World) turns(machine, holder string) {
+	last, ok := w.holders[machine]
+	if ok && last.name != holder && time.Since(last.at) < w.Turn {
+		w.violations = append(w.violations, fmt.Sprintf("orders for %s by %s and %s within %s", machine, last.name, holder, time.Since(last.at)))
+	}
+	w.holders[machine] = turn{name: holder, at: time.Now()}
+}
+
 func (w *World) listMachines(rw http.ResponseWriter) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/tenure/watch.go
+++ b/tenure/watch.go
@@ -50,6 +50,9 @@
 // Silent returns for how long the owner has not answered as the owner.
 func (w *Watch) Silent(now time.Time) time.Duration { return now.Sub(w.since) }
 
+// Doubtful reports whether the last answer was not that of the owner.
+func (w *Watch) Doubtful() bool { return !w.strange.IsZero() }
+
 // Judge takes over the answer to a sign of life that was sent at the given time, and returns what to do
 // with it and, for a replacement, how the owner departed.
 func (w *Watch) Judge(answer Answer, sent, now time.Time, handicap time.Duration) (Step, Departure) {
