ledger: move to another partition while its own is away; settings follow SIGHUP

Weighed: records spread over partitions with versions (a new owner has to read all). Appends that the store has answered count as word that no later owner works. Settings are read again on SIGHUP, which ended the process before, and each 2 s; periods that they do not name have defaults, since a longest lease of 0 would end every task.

--- a/cmd/run.go
+++ b/cmd/run.go
@@ -2,7 +2,9 @@
 
 import (
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"github.com/spf13/cobra"
 
@@ -24,7 +26,7 @@
 	command := &cobra.Command{
 		Use:   "run",
 		Short: "Run an entry on the users' platform",
-		Long:  "Run an entry with the settings that the platform provides, until SIGTERM or SIGINT; then finish the work in flight and exit.",
+		Long:  "Run an entry with the settings that the platform provides, until SIGTERM or SIGINT; then finish the work in flight and exit. SIGHUP reads the settings again.",
 		Args:  cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			debug.SetMemoryLimit(memoryLimit)
@@ -35,7 +37,11 @@
 			}
 			lines := event.NewAsync(os.Stdout)
 			defer lines.Close()
-			return process.New(s, &timer.Service{}, event.NewLog(lines, "hibiscuslane", level, event.FormatJSON)).Run(command.Context())
+			hangup := make(chan os.Signal, 1)
+			signal.Notify(hangup, syscall.SIGHUP)
+			p := process.New(s, &timer.Service{}, event.NewLog(lines, "hibiscuslane", level, event.FormatJSON))
+			go p.FollowSettings(command.Context(), platform.LoadSettings, hangup)
+			return p.Run(command.Context())
 		},
 	}
 	command.Flags().StringVar(&level, "log", "info", "least level of log lines: trace, debug, info, warn, error")
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -56,6 +56,9 @@
 	clock   *timer.Service
 	log     event.Log
 	epoch   platform.Epoch
+	// part is the partition that held the ledger when the tenure began.
+	part   int
+	holder Holder
 	// began is when the tenure began.
 	began time.Time
 	// foreign is how long runs of the earlier owner are kept on workers that this one cannot reach: the
@@ -144,6 +147,12 @@
 	run task.RunNumber
 }
 
+// Holder is the ownership that a tenure stands on.
+type Holder interface {
+	Move(ctx context.Context, epoch platform.Epoch, part int) error
+	Confirm(sent time.Time)
+}
+
 // Options are the parts that a Dispatcher uses.
 type Options struct {
 	Store   *platform.Store
@@ -154,6 +163,7 @@
 	Clock   *timer.Service
 	Log     event.Log
 	Config  *queue.Config
+	Holder  Holder
 }
 
 // New returns the owner of a tenure that was gained.
@@ -169,7 +179,7 @@
 	}
 	return &Dispatcher{
 		turn:  turn,
-		store: o.Store, fleet: o.Fleet, advisor: o.Advisor, clients: o.Clients, bounds: o.Bounds, clock: o.Clock, log: o.Log, epoch: gained.Epoch, foreign: foreign,
+		store: o.Store, fleet: o.Fleet, advisor: o.Advisor, clients: o.Clients, bounds: o.Bounds, clock: o.Clock, log: o.Log, epoch: gained.Epoch, part: gained.Part, holder: o.Holder, foreign: foreign,
 		began: o.Clock.Now(), ctx: ctx, kick: make(chan struct{}, 1), config: o.Config,
 		jobs: map[task.JobID]*job{}, stations: map[worker.ID]*station{}, listed: map[worker.ID]worker.Listing{},
 		runs: map[runID]*run{}, flows: map[queue.Name]*flow{}, advices: map[string]*advice{}, questions: make(chan question, maxQuestions), upkeep: upkeep{unfit: map[worker.MachineID]pool.Name{}},
@@ -192,8 +202,9 @@
 // load opens the ledger and restores the stored jobs.
 func (d *Dispatcher) load() (*ledger.Ledger, error) {
 	for {
-		opened, records, err := ledger.Open(d.ctx, d.store, ledger.TopicJobs, d.epoch, d.clock, d.log)
+		opened, records, err := ledger.Open(d.ctx, d.store, ledger.TopicJobs, d.part, d.epoch, d.clock, d.log)
 		if err == nil {
+			opened.SetMover(d)
 			d.restore(opened, records)
 			return opened, nil
 		}
@@ -207,6 +218,13 @@
 	}
 }
 
+// SetBounds puts other bounds in force.
+func (d *Dispatcher) SetBounds(bounds Bounds) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.bounds = bounds
+}
+
 // SetConfig puts a configuration in force.
 func (d *Dispatcher) SetConfig(config *queue.Config) {
 	d.mu.Lock()
--- a/dispatch/durable.go
+++ b/dispatch/durable.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"slices"
 	"strings"
 	"time"
@@ -13,6 +14,8 @@
 
 // Keys of the ledger: the intake of a job and its progress.
 const (
+	// keyMark ends the kind of a key.
+	keyMark     = "/"
 	intakeKey   = "job/"
 	progressKey = "run/"
 	// dropSlack is added to the time that the state of a job is told before it is dropped.
@@ -155,6 +158,54 @@
 	return append(records, platform.Record{Key: progressKey + string(j.ID), Value: data})
 }
 
+// Snapshot implements ledger.Mover.
+func (d *Dispatcher) Snapshot() []platform.Record {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var records []platform.Record
+	for _, j := range d.jobs {
+		if j.stored {
+			records = append(records, d.whole(j)...)
+		}
+	}
+	for _, w := range d.upkeep.waves {
+		if r, ok := d.waveRecord(w); ok {
+			records = append(records, r)
+		}
+	}
+	for id := range d.upkeep.recorded {
+		records = append(records, orderRecord(id))
+	}
+	return records
+}
+
+// whole returns the stored form of a job.
+func (d *Dispatcher) whole(j *job) []platform.Record {
+	var records []platform.Record
+	if j.Outcome == "" {
+		data, err := j.Intake()
+		if err != nil {
+			d.log.Error(eventEncode, "job", j.ID, "error", err)
+			return nil
+		}
+		records = append(records, platform.Record{Key: intakeKey + string(j.ID), Value: data})
+	}
+	data, err := j.Progress()
+	if err != nil {
+		d.log.Error(eventEncode, "job", j.ID, "error", err)
+		return records
+	}
+	return append(records, platform.Record{Key: progressKey + string(j.ID), Value: data})
+}
+
+// Move implements ledger.Mover.
+func (d *Dispatcher) Move(ctx context.Context, part int) error {
+	return d.holder.Move(ctx, d.epoch, part)
+}
+
+// Confirmed implements ledger.Mover.
+func (d *Dispatcher) Confirmed(sent time.Time) { d.holder.Confirm(sent) }
+
 // acknowledge lets a session tell its worker that ends are stored.
 func (d *Dispatcher) acknowledge(a ack) {
 	if a.station.birth != a.birth || a.number <= a.station.stored {
@@ -164,37 +215,44 @@
 	a.station.poke()
 }
 
-// restore takes over the jobs that the ledger holds.
+// restore takes over what the ledger holds.
 func (d *Dispatcher) restore(l *ledger.Ledger, records []platform.Record) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.opened = d.clock.Now()
-	progress := map[task.JobID][]byte{}
+	intakes, progress := map[task.JobID][]byte{}, map[task.JobID][]byte{}
 	for _, r := range records {
-		if id, ok := strings.CutPrefix(r.Key, progressKey); ok && len(r.Value) > 0 {
+		kind, id, _ := strings.Cut(r.Key, keyMark)
+		switch {
+		case len(r.Value) == 0:
+		case kind+keyMark == intakeKey:
+			intakes[task.JobID(id)] = r.Value
+		case kind+keyMark == progressKey:
 			progress[task.JobID(id)] = r.Value
-		}
-	}
-	for _, r := range records {
-		if strings.HasPrefix(r.Key, waveKey) && len(r.Value) > 0 {
+		case kind+keyMark == waveKey:
 			d.restoreWave(r.Value)
+		case kind+keyMark == orderKey:
+			d.restoreOrder(worker.MachineID(id), d.opened)
 		}
-		if machine, ok := strings.CutPrefix(r.Key, orderKey); ok && len(r.Value) > 0 {
-			d.restoreOrder(worker.MachineID(machine), d.opened)
-		}
-		id, ok := strings.CutPrefix(r.Key, intakeKey)
-		if !ok || len(r.Value) == 0 {
-			continue
-		}
-		restored, err := task.ParseIntake(task.JobID(id), r.Value)
-		if err == nil && progress[restored.ID] != nil {
-			err = restored.Restore(progress[restored.ID])
+	}
+	d.restoreJobs(intakes, progress)
+	d.ledger = l
+	d.log.Info(eventOwner, "epoch", d.epoch, "jobs", len(d.jobs), "open", len(d.open), "runs", len(d.runs))
+	d.wake()
+}
+
+// restoreJobs takes over the stored jobs. Those without an intake have ended.
+func (d *Dispatcher) restoreJobs(intakes, progress map[task.JobID][]byte) {
+	for id, data := range intakes {
+		restored, err := task.ParseIntake(id, data)
+		if err == nil && progress[id] != nil {
+			err = restored.Restore(progress[id])
 		}
+		delete(progress, id)
 		if err != nil {
 			d.log.Error(eventDecode, "job", id, "error", err)
 			continue
 		}
-		delete(progress, restored.ID)
 		d.adopt(restored)
 	}
 	for id, data := range progress {
@@ -205,9 +263,6 @@
 		}
 		d.jobs[id] = &job{Job: ended, stored: true, intake: true}
 	}
-	d.ledger = l
-	d.log.Info(eventOwner, "epoch", d.epoch, "jobs", len(d.jobs), "open", len(d.open), "runs", len(d.runs))
-	d.wake()
 }
 
 // adopt adds a stored job and the runs that its previous owner ordered.
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -37,7 +37,7 @@
 	case r == nil:
 		r = &record{}
 		d.upkeep.recorded[id] = r
-		d.ledger.Write([]platform.Record{{Key: orderKey + string(id), Value: []byte(orderNoted)}}, func(err error) { d.orderStored(r, err) })
+		d.ledger.Write([]platform.Record{orderRecord(id)}, func(err error) { d.orderStored(r, err) })
 	case r.stored:
 		if then != nil {
 			then()
@@ -49,6 +49,11 @@
 	}
 }
 
+// orderRecord returns the stored form of a note.
+func orderRecord(id worker.MachineID) platform.Record {
+	return platform.Record{Key: orderKey + string(id), Value: []byte(orderNoted)}
+}
+
 func (d *Dispatcher) orderStored(r *record, err error) {
 	if err != nil {
 		return // the tenure is over
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -22,6 +22,8 @@
 	dutyTimeout = 1500 * time.Millisecond
 	// settleTime is how long a task must have been at full speed before another of its step is taken away.
 	settleTime = 700 * time.Millisecond
+	// statusPart is the only partition of the records that operators read.
+	statusPart = 0
 	// waveKey begins the keys of the ledger under which the progress of waves is kept.
 	waveKey = "wave/"
 	// returnSlack is how long after its maintenance a machine still counts as away while the list lags.
@@ -58,6 +60,7 @@
 
 // waveState is the progress of a wave.
 type waveState struct {
+	number  wave.Number
 	request wave.Request
 	// began is when this process first heard of the wave.
 	began time.Time
@@ -115,7 +118,7 @@
 	}
 	w := d.upkeep.waves[number]
 	if w == nil {
-		w = &waveState{done: map[worker.MachineID]bool{}, chosen: map[worker.MachineID]time.Time{}}
+		w = &waveState{number: number, done: map[worker.MachineID]bool{}, chosen: map[worker.MachineID]time.Time{}}
 		d.upkeep.waves[number] = w
 	}
 	return w
@@ -130,16 +133,30 @@
 
 // storeWave stores the progress of a wave.
 func (d *Dispatcher) storeWave(w *waveState) {
-	record := waveRecord{Wave: w.request.Number, Began: w.began.UnixMilli()}
+	if r, ok := d.waveRecord(w); ok {
+		d.ledger.Write([]platform.Record{r}, nil)
+	}
+}
+
+// waveRecord returns the stored form of the progress of a wave; none before it began.
+func (d *Dispatcher) waveRecord(w *waveState) (platform.Record, bool) {
+	began := w.began
+	if began.IsZero() {
+		began = w.stored
+	}
+	if began.IsZero() {
+		return platform.Record{}, false
+	}
+	record := waveRecord{Wave: w.number, Began: began.UnixMilli()}
 	for machine := range w.done {
 		record.Done = append(record.Done, machine)
 	}
 	data, err := json.Marshal(record)
 	if err != nil {
-		d.log.Error(eventEncode, "wave", w.request.Number, "error", err)
-		return
+		d.log.Error(eventEncode, "wave", w.number, "error", err)
+		return platform.Record{}, false
 	}
-	d.ledger.Write([]platform.Record{{Key: platform.WaveKey(w.request.Number), Value: data}}, nil)
+	return platform.Record{Key: platform.WaveKey(w.number), Value: data}, true
 }
 
 // restoreWave takes over the stored progress of a wave.
@@ -174,7 +191,7 @@
 // openStatus opens the records that operators read.
 func (d *Dispatcher) openStatus() bool {
 	for {
-		status, records, err := ledger.Open(d.ctx, d.store, platform.TopicStatus, d.epoch, d.clock, d.log)
+		status, records, err := ledger.Open(d.ctx, d.store, platform.TopicStatus, statusPart, d.epoch, d.clock, d.log)
 		if err == nil {
 			d.mu.Lock()
 			d.upkeep.status = status
--- a/ledger/error.go
+++ b/ledger/error.go
@@ -8,8 +8,10 @@
 )
 
 var (
-	eventRepeat   = event.Define(2600, "append.repeat", "the store did not take an append; it is repeated")
-	eventExpected = event.Define(2601, "append.sequence", "the store expects another sequence number")
+	eventRepeat     = event.Define(2600, "append.repeat", "the store did not take an append; it is repeated")
+	eventMoved      = event.Define(2602, "ledger.moved", "the ledger has moved to another partition, because the store did not answer for its own")
+	eventMoveFailed = event.Define(2603, "ledger.stays", "another partition does not take the ledger either")
+	eventExpected   = event.Define(2601, "append.sequence", "the store expects another sequence number")
 )
 
 // UncertainError reports a write that was sent and may be stored.
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -15,8 +15,8 @@
 const (
 	// TopicJobs holds all jobs. Its records are keyed, so the newest of each key lasts.
 	TopicJobs platform.Topic = "keyed.job"
-	// Part is the partition of the only writer.
-	Part = 0
+	// Parts is the number of partitions among which the ledger of jobs moves; the platform has 32 of a topic.
+	Parts = 8
 
 	producer = "owner"
 	// appendTimeout bounds one call. The store answers in 4 ms, and in about 0.4 s when it is slow.
@@ -26,6 +26,13 @@
 	// withdrawAfter is how long the store may refuse an append before writes are withdrawn that may be. A
 	// caller that is refused early can still be served by a repeat.
 	withdrawAfter = 300 * time.Millisecond
+	// moveAfter is how long an append may go without an answer before the ledger moves to another partition. A
+	// move in time spares callers the refusal.
+	moveAfter = 250 * time.Millisecond
+	// probeTimeout bounds the first call to another partition, moveTries the partitions that are tried before
+	// the own one is tried again: when all are away, that one must not wait for them.
+	probeTimeout = 250 * time.Millisecond
+	moveTries    = 2
 	// maxBytes bounds the records of one append; the store takes 2 MB.
 	maxBytes = 1 << 20
 )
@@ -52,9 +59,16 @@
 type Ledger struct {
 	store Store
 	topic platform.Topic
+	// part is the partition that holds the ledger. Only Run changes it.
+	part  int
 	clock *timer.Service
 	log   event.Log
 	epoch platform.Epoch
+	// mover moves the ledger; nil if it stays.
+	mover Mover
+	// visited are the partitions that this ledger has written to. It never returns to one: an append without an
+	// answer may still be carried out there, and would take the sequence number of a later one.
+	visited map[int]bool
 
 	mu      sync.Mutex
 	pending []write
@@ -65,27 +79,40 @@
 	stalled time.Time
 }
 
-// Open fences earlier writers and returns the ledger with all stored records.
-func Open(ctx context.Context, store Store, topic platform.Topic, epoch platform.Epoch, clock *timer.Service, log event.Log) (*Ledger, []platform.Record, error) {
-	l := &Ledger{store: store, topic: topic, clock: clock, log: log, epoch: epoch, wake: make(chan struct{}, 1)}
-	if err := l.send(ctx, nil); err != nil {
-		return nil, nil, err
-	}
-	call, cancel := clock.WithTimeout(ctx, 2*appendTimeout)
-	defer cancel()
-	records, _, err := store.Newest(call, topic, Part)
+// Open fences earlier writers of a partition and returns its ledger with all stored records.
+func Open(ctx context.Context, store Store, topic platform.Topic, part int, epoch platform.Epoch, clock *timer.Service, log event.Log) (*Ledger, []platform.Record, error) {
+	l := &Ledger{store: store, topic: topic, part: part, clock: clock, log: log, epoch: epoch, wake: make(chan struct{}, 1), visited: map[int]bool{part: true}}
+	records, err := l.open(ctx, appendTimeout)
 	if err != nil {
 		return nil, nil, err
 	}
 	return l, records, nil
 }
 
+// open fences the partition and returns what it holds.
+func (l *Ledger) open(ctx context.Context, bound time.Duration) ([]platform.Record, error) {
+	call, cancel := l.clock.WithTimeout(ctx, bound)
+	defer cancel()
+	if err := l.send(call, nil); err != nil {
+		return nil, err
+	}
+	call, cancel = l.clock.WithTimeout(ctx, 2*appendTimeout)
+	defer cancel()
+	records, _, err := l.store.Newest(call, l.topic, l.part)
+	return records, err
+}
+
 // send appends once, with the next sequence number.
 func (l *Ledger) send(ctx context.Context, records []platform.Record) error {
 	call, cancel := l.clock.WithTimeout(ctx, appendTimeout)
 	defer cancel()
 	p := platform.Producer{Name: producer, Epoch: l.epoch, Sequence: l.next}
-	return l.store.Append(call, l.topic, Part, p, records)
+	sent := l.clock.Now()
+	err := l.store.Append(call, l.topic, l.part, p, records)
+	if err == nil && l.mover != nil {
+		l.mover.Confirmed(sent)
+	}
+	return err
 }
 
 // Write stores records, all or none, and calls done from another goroutine. Without records, done is called
@@ -212,6 +239,11 @@
 			return err
 		}
 		l.log.Warn(eventRepeat, "try", try, "records", len(records), "error", err)
+		if l.Stalled() > moveAfter && l.move(ctx) {
+			l.next++
+			certain = true // what the former partition stores does not count any more
+			continue
+		}
 		if l.Stalled() > withdrawAfter {
 			if l.withdraw(); certain {
 				batch = l.required(batch, err)
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -18,29 +18,41 @@
 
 // store takes appends while it is up.
 type store struct {
-	mu      sync.Mutex
-	up      bool
+	mu sync.Mutex
+	up bool
+	// away are partitions that do not answer while the others do, kept what each holds.
+	away    map[int]bool
+	kept    map[int][]platform.Record
 	fenced  bool
 	stored  []platform.Record
 	appends int
 }
 
-func (s *store) Append(_ context.Context, _ platform.Topic, _ int, _ platform.Producer, records []platform.Record) error {
+func (s *store) Append(_ context.Context, _ platform.Topic, part int, _ platform.Producer, records []platform.Record) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
 	case s.fenced:
 		return &platform.StatusError{Call: "append", Status: http.StatusConflict, Reason: "fenced"}
-	case !s.up:
+	case !s.up || s.away[part]:
 		return &platform.StatusError{Call: "append", Status: http.StatusServiceUnavailable}
 	}
+	if s.kept == nil {
+		s.kept = map[int][]platform.Record{}
+	}
+	s.kept[part] = append(s.kept[part], records...)
 	s.stored = append(s.stored, records...)
 	s.appends++
 	return nil
 }
 
-func (s *store) Newest(context.Context, platform.Topic, int) ([]platform.Record, platform.Offset, error) {
-	return nil, 0, nil
+func (s *store) Newest(_ context.Context, _ platform.Topic, part int) ([]platform.Record, platform.Offset, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.up || s.away[part] {
+		return nil, 0, &platform.StatusError{Call: "newest", Status: http.StatusServiceUnavailable}
+	}
+	return append([]platform.Record(nil), s.kept[part]...), 0, nil
 }
 
 func (s *store) set(f func(*store)) {
@@ -51,7 +63,7 @@
 
 func open(t *testing.T, s *store) (*ledger.Ledger, <-chan error) {
 	t.Helper()
-	l, _, err := ledger.Open(t.Context(), s, ledger.TopicJobs, 1, &timer.Service{}, event.Log{})
+	l, _, err := ledger.Open(t.Context(), s, ledger.TopicJobs, 0, 1, &timer.Service{}, event.Log{})
 	require.NoError(t, err)
 	ended := make(chan error, 1)
 	go func() { ended <- l.Run(t.Context()) }()
@@ -128,3 +140,81 @@
 		require.Equal(t, "b", s.stored[0].Key)
 	})
 }
+
+// mover is the owner of a ledger that moves.
+type mover struct {
+	mu       sync.Mutex
+	snapshot []platform.Record
+	part     int
+	err      error
+}
+
+func (m *mover) Snapshot() []platform.Record { return m.snapshot }
+
+func (m *mover) Move(_ context.Context, part int) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.err == nil {
+		m.part = part
+	}
+	return m.err
+}
+
+func (m *mover) Confirmed(time.Time) {}
+
+func movable(t *testing.T, s *store, m *mover) *ledger.Ledger {
+	t.Helper()
+	l, _, err := ledger.Open(t.Context(), s, ledger.TopicJobs, 0, 1, &timer.Service{}, event.Log{})
+	require.NoError(t, err)
+	l.SetMover(m)
+	go func() { _ = l.Run(t.Context()) }() // ends with the test
+	return l
+}
+
+func outcome(t *testing.T, l *ledger.Ledger, offer bool, r platform.Record) error {
+	t.Helper()
+	done := make(chan error, 1)
+	if offer {
+		l.Offer([]platform.Record{r}, func(err error) { done <- err })
+	} else {
+		l.Write([]platform.Record{r}, func(err error) { done <- err })
+	}
+	select {
+	case err := <-done:
+		return err
+	case <-time.After(patience):
+		require.Fail(t, "no outcome")
+		return nil
+	}
+}
+
+// TestMove guards against an owner that stands still because one partition is away: the ledger moves with all
+// that must last, without the leftovers of an earlier stay, and a new job is not refused.
+func TestMove(t *testing.T) {
+	left := platform.Record{Key: "left", Value: []byte("1")}
+	s := &store{up: true, away: map[int]bool{}, kept: map[int][]platform.Record{2: {left}}}
+	m := &mover{snapshot: []platform.Record{{Key: "old", Value: []byte("1")}}}
+	l := movable(t, s, m)
+	require.NoError(t, outcome(t, l, false, platform.Record{Key: "a", Value: []byte("1")}))
+	s.set(func(s *store) { s.away = map[int]bool{0: true, 1: true} })
+	require.NoError(t, outcome(t, l, true, platform.Record{Key: "b", Value: []byte("1")}))
+	require.Equal(t, 2, m.part, "the second partition is away as well")
+	s.set(func(s *store) {
+		require.Equal(t, []platform.Record{left, {Key: "left"}, {Key: "old", Value: []byte("1")}, {Key: "b", Value: []byte("1")}}, s.kept[2])
+	})
+	s.set(func(s *store) { s.away = map[int]bool{2: true} })
+	require.NoError(t, outcome(t, l, true, platform.Record{Key: "c", Value: []byte("1")}))
+	require.Equal(t, 3, m.part, "a partition that this ledger has written to must not be used again")
+}
+
+// TestMoveRefused guards against writes that are confirmed from a partition of which later owners know nothing.
+func TestMoveRefused(t *testing.T) {
+	s := &store{up: true, away: map[int]bool{}}
+	m := &mover{err: context.Canceled}
+	l := movable(t, s, m)
+	s.set(func(s *store) { s.away = map[int]bool{0: true} })
+	require.True(t, ledger.IsNotSent(outcome(t, l, true, platform.Record{Key: "a", Value: []byte("1")})))
+	s.set(func(s *store) { s.away = nil })
+	require.NoError(t, outcome(t, l, true, platform.Record{Key: "b", Value: []byte("1")}))
+	s.set(func(s *store) { require.Equal(t, []platform.Record{{Key: "b", Value: []byte("1")}}, s.kept[0]) })
+}
--- a/process/error.go
+++ b/process/error.go
@@ -18,6 +18,8 @@
 	eventLost    = event.Define(1055, "tenure.lost", "this process is no longer the owner")
 	eventSilent  = event.Define(1058, "owner.silent", "the owner does not answer, and no other member that it named hears it")
 	eventMetrics = event.Define(1057, "metrics.unserved", "the metrics cannot be served; callers are served all the same")
+	eventReload  = event.Define(1059, "settings.reloaded", "the settings were read again; changed addresses take a restart")
+	eventUnread  = event.Define(1060, "settings.unread", "the settings cannot be read; those in force stay")
 	eventEnded   = event.Define(1056, "tenure.ended", "the work of a tenure has ended")
 )
 
--- a/process/metrics.go
+++ b/process/metrics.go
@@ -88,7 +88,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(metricsPath, set.Handler())
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout}
-	if err := p.serve(ctx, server, metricsAddress(p.settings.Peers), make(chan error, 1)); err != nil {
+	if err := p.serve(ctx, server, metricsAddress(p.current().Peers), make(chan error, 1)); err != nil {
 		p.log.Warn(eventMetrics, "error", err)
 	}
 }
--- a/process/peers.go
+++ b/process/peers.go
@@ -117,7 +117,7 @@
 
 // giveUp returns why this owner gives way to the sender; empty if it does not.
 func (p *Process) giveUp(d *dispatch.Dispatcher, sign *relay.Sign) string {
-	ratio := float64(sign.Cores) / (millicores * p.settings.Cores)
+	ratio := float64(sign.Cores) / (millicores * p.current().Cores)
 	cut := p.keeper.Silence() - storeSilence
 	switch {
 	case sign.Store && (cut > weakerWait || cut > 0 && ratio >= equalCores):
@@ -255,7 +255,7 @@
 	call, cancel := p.clock.WithTimeout(ctx, bound)
 	defer cancel()
 	_, offset := p.follower.Document()
-	return p.peer(to).Beat(call, &relay.Sign{Member: string(p.keeper.Member), Config: int64(offset), Store: p.reaches(), Cores: int64(millicores * p.settings.Cores)})
+	return p.peer(to).Beat(call, &relay.Sign{Member: string(p.keeper.Member), Config: int64(offset), Store: p.reaches(), Cores: int64(millicores * p.current().Cores)})
 }
 
 // heard notes that the owner lives.
@@ -265,7 +265,7 @@
 	p.members = notice.Members
 	p.mu.Unlock()
 	if notice.Cores > 0 {
-		p.keeper.SetHandicap(handicapOf(p.settings.Cores, float64(notice.Cores)/millicores))
+		p.keeper.SetHandicap(handicapOf(p.current().Cores, float64(notice.Cores)/millicores))
 	}
 	if notice.Probe && p.keeper.Reach(ctx) {
 		p.mu.Lock()
--- a/process/process.go
+++ b/process/process.go
@@ -41,7 +41,6 @@
 
 // Process is one entry.
 type Process struct {
-	settings settings.Deployment
 	clock    *timer.Service
 	log      event.Log
 	store    *platform.Store
@@ -55,8 +54,10 @@
 
 	stopping atomic.Bool
 	mu       sync.Mutex
-	owner    *dispatch.Dispatcher // nil while this process is not the owner
-	end      context.CancelFunc   // ends the tenure of owner
+	// settings are in force, read are those that were read last.
+	settings, read settings.Deployment
+	owner          *dispatch.Dispatcher // nil while this process is not the owner
+	end            context.CancelFunc   // ends the tenure of owner
 	// answered is when the owner last answered a sign of life.
 	answered time.Time
 	// reached is when this process last reached the store at the owner's request.
@@ -72,7 +73,7 @@
 	log = log.With("entry", s.ID)
 	client := platform.NewHTTP(platformIdle)
 	p := &Process{
-		settings: s, clock: clock, log: log,
+		settings: s, read: s, clock: clock, log: log,
 		store:   &platform.Store{Address: s.Store, HTTP: client},
 		fleet:   &platform.Fleet{Address: s.Fleet, HTTP: client, Holder: string(s.ID)},
 		advisor: &platform.Advisor{Address: s.Advisor, HTTP: client},
@@ -89,7 +90,8 @@
 
 // Run serves until ctx ends, and then stops gracefully.
 func (p *Process) Run(ctx context.Context) error {
-	p.log.Info(eventStart, "member", p.keeper.Member, "centre", p.settings.Centre, "store", p.settings.Store)
+	s := p.current()
+	p.log.Info(eventStart, "member", p.keeper.Member, "centre", s.Centre, "store", s.Store)
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	set, err := p.measure()
@@ -100,11 +102,11 @@
 	inner := &http.Server{Handler: p.internal(), ReadHeaderTimeout: headerTimeout}
 	ready := &http.Server{Handler: http.HandlerFunc(p.ready), ReadHeaderTimeout: headerTimeout}
 	failed := make(chan error, 1)
-	for _, s := range []struct {
+	for _, l := range []struct {
 		server  *http.Server
 		address instance.Address
-	}{{inner, p.settings.Peers}, {ready, p.settings.Ready}, {front, p.settings.Callers}} {
-		if err := p.serve(ctx, s.server, s.address, failed); err != nil {
+	}{{inner, s.Peers}, {ready, s.Ready}, {front, s.Callers}} {
+		if err := p.serve(ctx, l.server, l.address, failed); err != nil {
 			return err
 		}
 	}
@@ -146,14 +148,15 @@
 // has noticed.
 func (p *Process) stop(front *http.Server, leave context.CancelFunc, left *sync.WaitGroup) {
 	begin := p.clock.Now()
-	p.log.Info(eventStop, "grace", p.settings.Contract.Grace)
+	grace := p.current().Contract.Grace
+	p.log.Info(eventStop, "grace", grace)
 	p.stopping.Store(true)
 	p.handler.Closing.Store(true)
 	leave()
 	left.Wait()
 	background := context.Background()
 	_ = p.clock.Sleep(background, closeAfter-p.clock.Since(begin)) // the background context never ends
-	bound, cancel := p.clock.WithTimeout(background, p.settings.Contract.Grace-closeReserve-p.clock.Since(begin))
+	bound, cancel := p.clock.WithTimeout(background, grace-closeReserve-p.clock.Since(begin))
 	defer cancel()
 	if err := front.Shutdown(bound); err != nil {
 		p.log.Warn(eventCut, "error", err)
@@ -175,12 +178,9 @@
 	epoch := gained.Epoch
 	p.log.Info(eventGained, "epoch", epoch, "earlier", gained.Earlier)
 	ctx, cancel := context.WithCancel(context.Background())
-	c := p.settings.Contract
 	d := dispatch.New(ctx, gained, dispatch.Options{
-		Store: p.store, Fleet: p.fleet, Advisor: p.advisor, Clients: p.clients, Clock: p.clock, Log: p.log.With("epoch", epoch), Config: p.follower.Config(),
-		Bounds: dispatch.Bounds{
-			MaxLease: c.MaxLease, Status: c.Status, Turn: c.Turn, Move: c.Move, Maintenance: c.Maintenance,
-		},
+		Store: p.store, Fleet: p.fleet, Advisor: p.advisor, Clients: p.clients, Clock: p.clock, Log: p.log.With("epoch", epoch), Config: p.follower.Config(), Holder: p.keeper,
+		Bounds: bounds(p.current().Contract),
 	})
 	p.mu.Lock()
 	p.owner, p.end = d, cancel
@@ -196,6 +196,11 @@
 	}()
 }
 
+// bounds returns what the owner has to keep to.
+func bounds(c settings.Contract) dispatch.Bounds {
+	return dispatch.Bounds{MaxLease: c.MaxLease, Status: c.Status, Turn: c.Turn, Move: c.Move, Maintenance: c.Maintenance}
+}
+
 func (p *Process) finish(reason string) {
 	p.mu.Lock()
 	d, end := p.owner, p.end
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -1,12 +1,18 @@
 package process_test
 
 import (
+	"context"
+	"errors"
 	"net/http"
+	"os"
+	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"hibiscuslane.example/hibiscuslane/settings"
 	"hibiscuslane.example/hibiscuslane/standin/fabric"
 )
 
@@ -388,3 +394,72 @@
 	require.Eventually(t, func() bool { return w.WaveCompleted(2) }, patience, poll)
 	require.Len(t, w.Orders(), len(machines)+1)
 }
+
+// TestPartitionAway guards against an owner that accepts and places nothing while one partition of the store
+// is away, and against a later owner that looks for the jobs where they were before.
+func TestPartitionAway(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	w.AddMachine("desk", cores16, false)
+	first, second := w.start("entry-1"), w.start("entry-2")
+	w.submit(first, "desk", fabric.JobID(1), fabric.Job(4000, 3000, 2))
+	w.Store.SetFaults(fabric.Faults{Away: []string{"keyed.job/0"}})
+	status, _ := w.call(second, http.MethodPost, "/desk/"+fabric.JobID(2), fabric.Job(4000, 50, 2))
+	require.Equal(t, http.StatusOK, status)
+	w.awaitDone(second, "desk", fabric.JobID(2))
+	first.stop()
+	w.submit(second, "desk", fabric.JobID(3), fabric.Job(4000, 50, 2))
+	for n := 1; n <= 3; n++ {
+		w.awaitDone(second, "desk", fabric.JobID(n))
+		require.Equal(t, 1, w.Starts(fabric.JobID(n)+".0.0.0"))
+	}
+}
+
+// TestReload guards against a process that ends on the signal that its settings have changed, against changed
+// settings without a signal that are not taken over, and against unreadable ones that replace those in force.
+func TestReload(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	w.AddMachine("desk", cores16, false)
+	e := w.start("entry-1")
+	var mu sync.Mutex
+	next, failure := e.settings, error(nil)
+	load := func() (settings.Deployment, error) {
+		mu.Lock()
+		defer mu.Unlock()
+		return next, failure
+	}
+	hangup := make(chan os.Signal, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	followed := make(chan struct{})
+	go func() {
+		defer close(followed)
+		e.process.FollowSettings(ctx, load, hangup)
+	}()
+	set := func(lease time.Duration, err error) {
+		mu.Lock()
+		defer mu.Unlock()
+		next.Contract.MaxLease, failure = lease, err
+	}
+	// A lease of 3.5 s, renewed each 0.9 s, never falls to this one.
+	const lease = 2 * time.Second
+	held := func() bool {
+		left := w.Workers()[0].Lease()
+		return left > 0 && left <= lease
+	}
+	set(lease, nil)
+	hangup <- syscall.SIGHUP
+	w.submit(e, "desk", fabric.JobID(1), fabric.Job(4000, 6000, 1))
+	require.Eventually(t, held, patience, poll)
+	set(0, errors.ErrUnsupported)
+	hangup <- syscall.SIGHUP
+	w.submit(e, "desk", fabric.JobID(2), fabric.Job(4000, 50, 1))
+	w.awaitDone(e, "desk", fabric.JobID(2))
+	require.True(t, held())
+	set(2*lease, nil)
+	require.Eventually(t, func() bool { return w.Workers()[0].Lease() > lease }, patience, poll, "settings that change without a signal")
+	cancel()
+	<-followed
+}
--- a/process/world_test.go
+++ b/process/world_test.go
@@ -89,11 +89,10 @@
 	w.t.Helper()
 	e := &entry{settings: settings.Deployment{
 		ID: instance.ID(id), Centre: "z1", Callers: freeAddress(w.t), Ready: freeAddress(w.t), Peers: freeAddress(w.t),
-		Store: instance.Address(store), Fleet: instance.Address(w.FleetAddress), Heartbeat: time.Second, Cores: 1,
+		Store: instance.Address(store), Fleet: instance.Address(w.FleetAddress), Cores: 1,
 		Contract: settings.Contract{
-			Grace: 5 * time.Second, Drain: 2 * time.Second, MaxLease: 6 * time.Second, Stop: 200 * time.Millisecond,
+			Grace: 5 * time.Second, MaxLease: 6 * time.Second,
 			Status: time.Minute, Turn: turnBound, Move: 150 * time.Millisecond, Maintenance: 150 * time.Millisecond,
-			Notice: time.Second,
 		},
 	}}
 	w.run(e)
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -16,28 +16,20 @@
 	// Store, Fleet and Advisor are the services of the platform. Advisor may be empty.
 	Store, Fleet, Advisor instance.Address
 	// Cores is the share of a core that the process may use, in cores.
-	Cores float64
-	// Heartbeat is the time between two registrations of a worker.
-	Heartbeat time.Duration
-	Contract  Contract
+	Cores    float64
+	Contract Contract
 }
 
 // Contract are the periods that the platform and the system keep to.
 type Contract struct {
 	// Grace is the time from the request to stop a process to its forced end.
 	Grace time.Duration
-	// Drain is the least time that a worker serves after it reported that it drains.
-	Drain time.Duration
 	// MaxLease is the longest lease that a worker grants.
 	MaxLease time.Duration
-	// Stop is the longest time that a worker takes to stop a task.
-	Stop time.Duration
 	// Status is how long the state of a job is told after its end.
 	Status time.Duration
 	// Turn is the time for which no two processes may give orders for one machine.
 	Turn time.Duration
 	// Move and Maintenance are the times that a machine is away.
 	Move, Maintenance time.Duration
-	// Notice is how long a task may be away before it counts as missing.
-	Notice time.Duration
 }
--- a/standin/fabric/store.go
+++ b/standin/fabric/store.go
@@ -19,6 +19,8 @@
 type Faults struct {
 	// Busy refuses every call with 503.
 	Busy bool
+	// Away are partitions, named by topic and number, for which every call is refused with 503.
+	Away []string
 	// Lose carries the next appends out and gives no answer.
 	Lose int
 }
@@ -123,7 +125,8 @@
 // ServeHTTP implements http.Handler.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	busy := s.faults.Busy
+	query := r.URL.Query()
+	busy := s.faults.Busy || slices.Contains(s.faults.Away, query.Get("topic")+"/"+query.Get("part"))
 	s.mu.Unlock()
 	if busy {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/standin/fabric/worker.go
+++ b/standin/fabric/worker.go
@@ -62,6 +62,13 @@
 		w.Pool, w.address, w.CPU, w.Machine, w.born.UnixMilli())
 }
 
+// Lease returns how long the worker may still run something.
+func (w *Worker) Lease() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Duration(w.until-w.clock()) * time.Millisecond
+}
+
 // SetDark makes the worker silent: it runs on and answers nothing.
 func (w *Worker) SetDark(dark bool) {
 	w.mu.Lock()
--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -6,6 +6,8 @@
 
 import (
 	"context"
+	"errors"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -29,6 +31,8 @@
 	// reclaimDelay is how long a process that gave way leaves the ownership to its peers. They send a sign of
 	// life each 350 ms and learn from the answer that they may replace it.
 	reclaimDelay = 1500 * time.Millisecond
+	// moveDelay is the pause before the claim of a moved ledger is repeated.
+	moveDelay = 100 * time.Millisecond
 	// topic holds the claims under one key; the newest names the owner.
 	topic platform.Topic = "keyed.owner"
 	// part is the only partition of the claims.
@@ -77,6 +81,8 @@
 type Gained struct {
 	Epoch   platform.Epoch
 	Earlier Departure
+	// Part is the partition that holds the ledger.
+	Part int
 }
 
 // Lost says that this process is no longer the owner.
@@ -89,12 +95,37 @@
 func (Gained) change() {}
 func (Lost) change()   {}
 
-// claim is a record that names an owner; an empty member gives the ownership up.
+// claim is a record that names an owner and the partition of its ledger; an empty member gives the ownership
+// up.
 type claim struct {
 	member Member
+	part   int
 	offset platform.Offset
 }
 
+// partMark separates the member from the partition in the stored form of a claim.
+const partMark = "#"
+
+// record returns the stored form of the claim.
+func (c claim) record() platform.Record {
+	return platform.Record{Key: claimKey, Value: []byte(string(c.member) + partMark + strconv.Itoa(c.part))}
+}
+
+// parseClaim reads the stored form of a claim. One without a partition means the first.
+func parseClaim(r platform.Record) (claim, error) {
+	member, part, found := strings.Cut(string(r.Value), partMark)
+	c := claim{member: Member(member), offset: r.Offset}
+	if !found {
+		return c, nil
+	}
+	number, err := strconv.Atoi(part)
+	if err != nil {
+		return claim{}, &platform.FormatError{What: "claim", Cause: err}
+	}
+	c.part = number
+	return c, nil
+}
+
 // epoch returns the token of the claim. Tokens start at 1, because workers take a missing one for 0.
 func (c claim) epoch() platform.Epoch { return platform.Epoch(c.offset) + 1 }
 
@@ -113,6 +144,9 @@
 	mu sync.Mutex
 	// epoch is the token of the tenure of this process; zero while it is not the owner.
 	epoch platform.Epoch
+	// part is the partition of the ledger in this tenure, end the offset after the last claim of this process.
+	part int
+	end  platform.Offset
 	// last is the token of the last tenure of this process. A later one has a higher token.
 	last platform.Epoch
 	// confirmed is when the last look was sent that the store has answered.
@@ -205,7 +239,10 @@
 	k.apply(Lost{Reason: "stopping"})
 	call, cancel := k.Clock.WithTimeout(context.WithoutCancel(ctx), callTimeout)
 	defer cancel()
-	err := k.Store.AppendAt(call, topic, part, platform.Offset(epoch), platform.Record{Key: claimKey})
+	k.mu.Lock()
+	end, given := k.end, claim{part: k.part}
+	k.mu.Unlock()
+	err := k.Store.AppendAt(call, topic, part, end, given.record())
 	if err != nil {
 		k.Log.Warn(eventLeave, "epoch", epoch, "error", err)
 	}
@@ -219,20 +256,23 @@
 	k.mu.Unlock()
 	switch {
 	case epoch != 0:
-		k.confirm(ctx, epoch)
+		k.confirm(ctx)
 	case owner == "":
 		k.claim(ctx, takeover{})
 	}
 }
 
 // confirm checks that no later claim was made than that of this tenure.
-func (k *Keeper) confirm(ctx context.Context, epoch platform.Epoch) {
+func (k *Keeper) confirm(ctx context.Context) {
 	call, cancel := k.Clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := k.Clock.Now()
-	batch, err := k.Store.Read(call, topic, part, platform.Offset(epoch), 0)
-	if err == nil && batch.End <= platform.Offset(epoch) {
-		k.heard(sent)
+	k.mu.Lock()
+	end := k.end
+	k.mu.Unlock()
+	batch, err := k.Store.Read(call, topic, part, end, 0)
+	if err == nil && k.own(batch, end) {
+		k.Confirm(sent)
 		return
 	}
 	if _, expired := platform.FirstKept(err); expired || err == nil {
@@ -247,10 +287,26 @@
 	}
 }
 
-func (k *Keeper) heard(sent time.Time) {
+// own reports whether all claims from an offset on are of this process; it makes them when its ledger moves.
+func (k *Keeper) own(batch platform.Batch, from platform.Offset) bool {
+	if batch.End > from+platform.Offset(len(batch.Records)) {
+		return false
+	}
+	for _, r := range batch.Records {
+		if c, err := parseClaim(r); err != nil || c.member != k.Member {
+			return false
+		}
+	}
+	return true
+}
+
+// Confirm notes that no later owner had begun its work when a call was sent that the store has answered.
+func (k *Keeper) Confirm(sent time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.confirmed = sent
+	if sent.After(k.confirmed) {
+		k.confirmed = sent
+	}
 }
 
 // takeover is an attempt to become the owner. The zero value replaces nobody.
@@ -278,7 +334,7 @@
 		}
 		return
 	}
-	k.heard(sent)
+	k.Confirm(sent)
 	if newest.member != "" && newest.member != k.Member && newest.member != t.instead {
 		k.Learn(newest.member)
 		return
@@ -299,7 +355,8 @@
 		return
 	}
 	if newest.member == k.Member && newest.epoch() > last {
-		k.apply(Gained{Epoch: newest.epoch(), Earlier: DepartureSilent}) // a claim whose answer was lost
+		// A claim whose answer was lost, or the last move of the ledger in an earlier tenure.
+		k.gain(newest, DepartureSilent)
 		return
 	}
 	earlier := t.earlier
@@ -309,14 +366,74 @@
 	case k.Member:
 		earlier = DepartureSelf
 	}
-	mine := claim{member: k.Member, offset: end}
+	mine := claim{member: k.Member, part: newest.part, offset: end}
 	call, cancel := k.Clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := k.Store.AppendAt(call, topic, part, end, platform.Record{Key: claimKey, Value: []byte(k.Member)})
+	err := k.Store.AppendAt(call, topic, part, end, mine.record())
 	k.Log.Info(eventClaim, "epoch", mine.epoch(), "instead", newest.member, "earlier", earlier, "error", err)
 	if err == nil {
-		k.apply(Gained{Epoch: mine.epoch(), Earlier: earlier})
+		k.gain(mine, earlier)
+	}
+}
+
+func (k *Keeper) gain(c claim, earlier Departure) {
+	k.mu.Lock()
+	k.end, k.part = c.offset+1, c.part
+	k.mu.Unlock()
+	k.apply(Gained{Epoch: c.epoch(), Earlier: earlier, Part: c.part})
+}
+
+// Move names another partition of the ledger. Its claim is repeated until the store has answered it, since
+// a later owner goes by the newest one; an error says that the tenure is over.
+func (k *Keeper) Move(ctx context.Context, epoch platform.Epoch, to int) error {
+	k.mu.Lock()
+	mine := claim{member: k.Member, part: to, offset: k.end}
+	k.mu.Unlock()
+	for {
+		err := k.rename(ctx, mine)
+		if err == nil {
+			k.mu.Lock()
+			defer k.mu.Unlock()
+			if k.epoch != epoch {
+				return &OverError{Epoch: epoch}
+			}
+			k.part, k.end = to, mine.offset+1
+			return nil
+		}
+		k.Log.Info(eventMove, "part", to, "epoch", epoch, "error", err)
+		var over *OverError
+		if errors.As(err, &over) {
+			k.apply(Lost{Reason: "another process has claimed the ownership"})
+			return over
+		}
+		if k.Silence() > TTL {
+			k.apply(Lost{Reason: "the store does not answer"})
+			return &OverError{Epoch: epoch}
+		}
+		if err := k.Clock.Sleep(ctx, moveDelay); err != nil {
+			return err
+		}
+	}
+}
+
+// rename appends a claim once. If the store refuses it, an earlier try may have been stored.
+func (k *Keeper) rename(ctx context.Context, mine claim) error {
+	call, cancel := k.Clock.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	refusal := k.Store.AppendAt(call, topic, part, mine.offset, mine.record())
+	if !platform.IsRefused(refusal) {
+		return refusal
 	}
+	newest, _, err := k.newest(ctx)
+	switch {
+	case err != nil:
+		return err
+	case newest.offset < mine.offset:
+		return refusal
+	case newest != mine:
+		return &OverError{Epoch: mine.epoch()}
+	}
+	return nil
 }
 
 // Reach reports whether this process reaches the claims, which are what an owner that cannot reach the
@@ -336,8 +453,11 @@
 	}
 	var c claim
 	for _, r := range records {
-		if r.Key == claimKey {
-			c = claim{member: Member(r.Value), offset: r.Offset}
+		if r.Key != claimKey {
+			continue
+		}
+		if c, err = parseClaim(r); err != nil {
+			return claim{}, 0, err
 		}
 	}
 	return c, end, nil
--- a/tenure/tenure_test.go
+++ b/tenure/tenure_test.go
@@ -235,3 +235,42 @@
 	await(t, clock, "not owner", func() bool { return k.epoch() != 0 })
 	require.Less(t, clock.Since(begin), 5*time.Second)
 }
+
+// TestMove guards against a later owner that opens the partition which the ledger has left, and against an
+// owner that takes its own claim for that of another process.
+func TestMove(t *testing.T) {
+	clock := timer.NewManual(time.UnixMilli(0))
+	s := &store{}
+	a := start(t, s, clock, "a:1/x")
+	await(t, clock, "not owner", func() bool { return a.epoch() != 0 })
+	require.NoError(t, a.Move(t.Context(), a.epoch(), 5))
+	begin := clock.Now()
+	await(t, clock, "time stands still", func() bool { return clock.Since(begin) > 2*tenure.TTL })
+	require.NotZero(t, a.epoch(), "the owner has lost its tenure by its own claim")
+	a.stop()
+	b := start(t, s, clock, "b:1/x")
+	await(t, clock, "no new owner", func() bool { return b.epoch() != 0 })
+	require.Equal(t, tenure.Gained{Epoch: 4, Earlier: tenure.DepartureNone, Part: 5}, b.changes[0])
+}
+
+// TestMoveUncertain guards against an owner that goes on in the former partition after a claim whose answer
+// was lost, and against one that goes on after another process has claimed the ownership.
+func TestMoveUncertain(t *testing.T) {
+	clock := timer.NewManual(time.UnixMilli(0))
+	s := &store{}
+	a := start(t, s, clock, "a:1/x")
+	await(t, clock, "not owner", func() bool { return a.epoch() != 0 })
+	s.set(func(s *store) { s.lose = true })
+	moved := make(chan error, 1)
+	go func() { moved <- a.Move(t.Context(), a.epoch(), 3) }()
+	await(t, clock, "no outcome", func() bool { return len(moved) > 0 })
+	require.NoError(t, <-moved)
+	s.set(func(s *store) { s.lose = false })
+
+	s.set(func(s *store) {
+		s.claims = append(s.claims, platform.Record{Key: "owner", Value: []byte("b:1/x#3"), Offset: platform.Offset(len(s.claims))})
+	})
+	var over *tenure.OverError
+	require.ErrorAs(t, a.Move(t.Context(), 1, 4), &over)
+	require.Zero(t, a.epoch())
+}
