soak: randomized disturbances of entries as processes; orders of a stopped owner count

The soak runs five entries as processes against the emulated platform, with a loopback proxy before the store and the fleet of each entry and before each worker. It delays, resets, cuts and silences connections, pauses, kills, stops, rolls and hangs up processes, refuses, loses and withholds parts of the store, forgets its history, crashes workers and slows their clocks, and publishes waves and configurations meanwhile. It checks from outside: capacity, one run at a time, no run after its end, order of steps, nothing unasked, one holder for a machine within a turn, no accepted job lost, no refused one run, no process that ends by itself.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PROTOC_GEN_GO_VERSION := v1.36.12
 GOBIN := $(shell go env GOPATH)/bin
 
-.PHONY: build test lint fmt vet fuzz generate tools demo proofs bench events measure
+.PHONY: build test lint fmt vet fuzz generate tools demo proofs bench events measure soak
 
 build:
 	go build -o bin/ . ./standin
@@ -51,11 +51,17 @@
 demo:
 	go run ./standin demo
 
+# Plays seeds of the soak. Logs of failed ones are kept in bin/soak.
+SEEDS := 1-50
+soak:
+	mkdir -p bin/soak
+	go test -count=1 ./soak -run TestSeeds -timeout 60m -v -args -seeds $(SEEDS) -logs ../bin/soak
+
 events:
 	go test ./event -args -catalogue
 
 generate: tools
-	PATH=$(GOBIN):$$PATH protoc --proto_path=. --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative peer/peer.proto
+	PATH=$(GOBIN):$$PATH protoc --proto_path=. --go_out=. --go_opt=paths=source_relative --twirp_out=. --twirp_opt=paths=source_relative peer/peer.proto relay/relay.proto
 
 tools: $(GOBIN)/golangci-lint
 	go install github.com/twitchtv/twirp/protoc-gen-twirp@$(TWIRP_VERSION)
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -64,9 +64,7 @@
 	// foreign is how long runs of the earlier owner are kept on workers that this one cannot reach: the
 	// earlier owner may have renewed their leases until its tenure ended.
 	foreign time.Duration
-	// turn is how long this owner leaves machines alone for which the earlier one may just have given an order,
-	// from opened on, when the ledger was opened and earlier owners were fenced.
-	turn   time.Duration
+	// opened is when the ledger was opened, which fences earlier owners.
 	opened time.Time
 	ctx    context.Context
 	kick   chan struct{}
@@ -168,17 +166,11 @@
 
 // New returns the owner of a tenure that was gained.
 func New(ctx context.Context, gained tenure.Gained, o Options) *Dispatcher {
-	var foreign, turn time.Duration
-	switch gained.Earlier {
-	case tenure.DepartureSilent:
-		foreign, turn = expiry+tenure.TTL, o.Bounds.Turn
-	case tenure.DepartureYielded:
-		foreign, turn = expiry, o.Bounds.Turn
-	case tenure.DepartureNone, tenure.DepartureSelf, tenure.DepartureEnded:
-		foreign = expiry
+	foreign := expiry
+	if gained.Earlier == tenure.DepartureSilent {
+		foreign += tenure.TTL
 	}
 	return &Dispatcher{
-		turn:  turn,
 		store: o.Store, fleet: o.Fleet, advisor: o.Advisor, clients: o.Clients, bounds: o.Bounds, clock: o.Clock, log: o.Log, epoch: gained.Epoch, part: gained.Part, holder: o.Holder, foreign: foreign,
 		began: o.Clock.Now(), ctx: ctx, kick: make(chan struct{}, 1), config: o.Config,
 		jobs: map[task.JobID]*job{}, stations: map[worker.ID]*station{}, listed: map[worker.ID]worker.Listing{},
--- a/dispatch/durable.go
+++ b/dispatch/durable.go
@@ -173,8 +173,8 @@
 			records = append(records, r)
 		}
 	}
-	for id := range d.upkeep.recorded {
-		records = append(records, orderRecord(id))
+	for id, r := range d.upkeep.recorded {
+		records = append(records, r.encode(id))
 	}
 	return records
 }
@@ -232,7 +232,7 @@
 		case kind+keyMark == waveKey:
 			d.restoreWave(r.Value)
 		case kind+keyMark == orderKey:
-			d.restoreOrder(worker.MachineID(id), d.opened)
+			d.restoreOrder(worker.MachineID(id), string(r.Value), d.opened)
 		}
 	}
 	d.restoreJobs(intakes, progress)
--- a/dispatch/order.go
+++ b/dispatch/order.go
@@ -13,14 +13,14 @@
 	// before the order is sent, so that a later owner leaves just these machines alone for a turn and serves
 	// a burst with all others at once.
 	orderKey = "order/"
-	// orderNoted is the value of such a record; only its presence counts.
-	orderNoted = "1"
 )
 
 // record is the note in the ledger that orders are given for a machine.
 type record struct {
 	// stored is set once the ledger has it.
 	stored bool
+	// holder is the entry that gave the orders.
+	holder string
 	// used is when an order was last sent on its strength.
 	used time.Time
 	// after is called once it is stored.
@@ -34,10 +34,10 @@
 	}
 	r := d.upkeep.recorded[id]
 	switch {
-	case r == nil:
-		r = &record{}
+	case r == nil || r.holder != d.fleet.Holder:
+		r = &record{holder: d.fleet.Holder}
 		d.upkeep.recorded[id] = r
-		d.ledger.Write([]platform.Record{orderRecord(id)}, func(err error) { d.orderStored(r, err) })
+		d.ledger.Write([]platform.Record{r.encode(id)}, func(err error) { d.orderStored(r, err) })
 	case r.stored:
 		if then != nil {
 			then()
@@ -49,9 +49,9 @@
 	}
 }
 
-// orderRecord returns the stored form of a note.
-func orderRecord(id worker.MachineID) platform.Record {
-	return platform.Record{Key: orderKey + string(id), Value: []byte(orderNoted)}
+// encode returns the stored form of a note. It names the holder, which may go on at once in another tenure.
+func (r *record) encode(id worker.MachineID) platform.Record {
+	return platform.Record{Key: orderKey + string(id), Value: []byte(r.holder)}
 }
 
 func (d *Dispatcher) orderStored(r *record, err error) {
@@ -68,22 +68,19 @@
 	r.after = nil
 }
 
-// restoreOrder takes over the note of an earlier owner.
-func (d *Dispatcher) restoreOrder(id worker.MachineID, now time.Time) {
+// restoreOrder takes over the note of an earlier tenure.
+func (d *Dispatcher) restoreOrder(id worker.MachineID, holder string, now time.Time) {
 	if d.upkeep.recorded == nil {
 		d.upkeep.recorded = map[worker.MachineID]*record{}
 	}
-	if d.upkeep.inherited == nil {
-		d.upkeep.inherited = map[worker.MachineID]bool{}
-	}
-	d.upkeep.recorded[id] = &record{stored: true, used: now}
-	d.upkeep.inherited[id] = true
+	d.upkeep.recorded[id] = &record{stored: true, holder: holder, used: now}
 }
 
 // reserved reports whether a machine is left alone because an earlier owner may just have given an order for
 // it. It cannot send another one: its notes are fenced since the ledger was opened.
 func (d *Dispatcher) reserved(id worker.MachineID, now time.Time) bool {
-	return d.upkeep.inherited[id] && now.Sub(d.opened) < d.turn
+	r := d.upkeep.recorded[id]
+	return r != nil && r.holder != d.fleet.Holder && now.Sub(d.opened) < d.bounds.Turn
 }
 
 // forgetOrders drops the notes of machines for which no order has been given for a while.
@@ -94,7 +91,6 @@
 			continue
 		}
 		delete(d.upkeep.recorded, id)
-		delete(d.upkeep.inherited, id)
 		records = append(records, platform.Record{Key: orderKey + string(id)})
 	}
 	if len(records) > 0 {
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -36,10 +36,8 @@
 	machines map[worker.MachineID]worker.Machine
 	// ordered are the orders for machines that may still be in force.
 	ordered map[worker.MachineID]errand
-	// recorded are the machines that the ledger names as ordered, inherited those of them that an earlier owner
-	// may have given an order for.
-	recorded  map[worker.MachineID]*record
-	inherited map[worker.MachineID]bool
+	// recorded are the machines that the ledger names as ordered.
+	recorded map[worker.MachineID]*record
 	// unfit are the pools that the platform refused for a machine.
 	unfit map[worker.MachineID]pool.Name
 	// status publishes the state of waves; nil until it is open.
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -463,3 +463,20 @@
 	cancel()
 	<-followed
 }
+
+// TestOrdersAfterStop guards against a new owner that gives orders for a machine for which the earlier one gave
+// an order just before it stopped.
+func TestOrdersAfterStop(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Turn = turnBound
+	w.Publish(1, []string{"desk"}, "")
+	machine := w.AddMachine("desk", cores16, false)
+	first, second := w.start("entry-1"), w.start("entry-2")
+	w.RequestWave(1, []string{machine}, 30, 1)
+	require.Eventually(t, func() bool { return w.WaveCompleted(1) }, patience, poll)
+	first.stop()
+	w.RequestWave(2, []string{machine}, 30, 1)
+	w.submit(second, "desk", fabric.JobID(1), fabric.Job(4000, 50, 1))
+	require.Eventually(t, func() bool { return w.WaveCompleted(2) }, patience, poll)
+}
--- a/standin/fabric/worker.go
+++ b/standin/fabric/worker.go
@@ -17,6 +17,8 @@
 	CPU   int
 	world *World
 	born  time.Time
+	// drift is the share by which its clock is slow.
+	drift float64
 
 	mu      sync.Mutex
 	address string
@@ -53,7 +55,9 @@
 	Wait     int64  `json:"wait_ms"`
 }
 
-func (w *Worker) clock() int64 { return time.Since(w.born).Milliseconds() }
+func (w *Worker) clock() int64 {
+	return int64(float64(time.Since(w.born).Milliseconds()) * (1 - w.drift))
+}
 
 // entry returns the registration of the worker.
 func (w *Worker) entry() []byte {
--- a/standin/fabric/world.go
+++ b/standin/fabric/world.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +17,12 @@
 	Store Store
 	// Turn is the time in which two holders may not give orders for one machine. It is set before entries start.
 	Turn time.Duration
+	// Drift is the share by which the clock of every second worker is slow. It is set before the first machine is
+	// added.
+	Drift float64
+	// Between returns the address at which a worker is listed, given its machine and its own address; nil lists
+	// its own. It is set before the first machine is added.
+	Between func(machine, address string) string
 	// URL addresses of the services, without a scheme.
 	StoreAddress, FleetAddress string
 
@@ -30,8 +37,12 @@
 	starts     map[string]int
 	noted      map[string]bool
 	orders     []string
-	holders    map[string]turn // by machine
-	quit       chan struct{}
+	// jobs are the tasks of each step of the jobs that were handed in, by job; nil if they are not checked.
+	jobs map[string][]int
+	// done are the tasks of which a run has ended as done.
+	done    map[string]bool
+	holders map[string]turn // by machine
+	quit    chan struct{}
 }
 
 // turn is the last order for a machine.
@@ -51,7 +62,7 @@
 func NewWorld() *World {
 	w := &World{
 		workers: map[string]*Worker{}, machines: map[string]string{}, away: map[string]bool{}, running: map[string]string{},
-		starts: map[string]int{}, noted: map[string]bool{}, quit: make(chan struct{}), holders: map[string]turn{},
+		starts: map[string]int{}, noted: map[string]bool{}, quit: make(chan struct{}), holders: map[string]turn{}, done: map[string]bool{},
 	}
 	w.StoreAddress = w.serve(&w.Store)
 	w.FleetAddress = w.serve(http.HandlerFunc(w.fleet))
@@ -137,9 +148,15 @@
 		ID: fmt.Sprintf("i-%d", w.serial), Machine: machine, Pool: pool, CPU: cpu, world: w, born: time.Now(),
 		runs: map[string]*run{}, highest: map[string]int64{}, change: make(chan struct{}),
 	}
+	if w.serial%2 == 0 {
+		worker.drift = w.Drift
+	}
 	w.workers[machine] = worker
 	w.mu.Unlock()
 	worker.address = w.serve(worker)
+	if w.Between != nil {
+		worker.address = w.Between(worker.Machine, worker.address)
+	}
 	w.Store.Put("keyed.servers", worker.ID, worker.entry())
 }
 
@@ -306,14 +323,55 @@
 	if w.noted[task] {
 		w.violations = append(w.violations, "start of "+task+" after its end was noted")
 	}
+	w.asked(task)
 	w.running[task] = worker.ID
 	w.starts[task]++
 	return parseSpec(spec)
 }
 
-func (w *World) finish(worker *Worker, task, _ string) {
+// Expect names a job that is handed in, with the number of tasks of each step. Starts of other jobs, and of
+// tasks before all those of the step before have ended, are violations from then on.
+func (w *World) Expect(job string, counts ...int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if w.jobs == nil {
+		w.jobs = map[string][]int{}
+	}
+	w.jobs[job] = counts
+}
+
+// asked checks that a task belongs to a job that was handed in, and that its turn has come.
+func (w *World) asked(task string) {
+	if w.jobs == nil {
+		return
+	}
+	var step, index int
+	parts := strings.Split(task, ".")
+	counts, known := w.jobs[parts[0]]
+	if _, err := fmt.Sscanf(strings.Join(parts[1:], " "), "0 %d %d", &step, &index); err != nil || !known || step >= len(counts) || index >= counts[step] {
+		w.violations = append(w.violations, "start of "+task+", which nobody asked for")
+		return
+	}
+	for i := 0; step > 0 && i < counts[step-1]; i++ {
+		if earlier := fmt.Sprintf("%s.0.%d.%d", parts[0], step-1, i); !w.done[earlier] {
+			w.violations = append(w.violations, "start of "+task+" before the end of "+earlier)
+		}
+	}
+}
+
+// Running returns the tasks that run, with the worker of each.
+func (w *World) Running() map[string]string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return maps.Clone(w.running)
+}
+
+func (w *World) finish(worker *Worker, task, how string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if how == "done" {
+		w.done[task] = true
+	}
 	if w.running[task] == worker.ID {
 		delete(w.running, task)
 	}
