tenure: a member that nobody answers does not replace the owner

Change: the witnesses' answers form an opinion. Without any answer a member waits until the owner was silent for 3 s; an address at which nothing listens needs no opinion.

--- a/process/error.go
+++ b/process/error.go
@@ -16,7 +16,7 @@
 	eventStopped = event.Define(1053, "process.stopped", "the process has stopped")
 	eventGained  = event.Define(1054, "tenure.gained", "the store made this process the owner")
 	eventLost    = event.Define(1055, "tenure.lost", "this process is no longer the owner")
-	eventSilent  = event.Define(1058, "owner.silent", "the owner does not answer, and no other member that it named hears it")
+	eventSilent  = event.Define(1058, "owner.silent", "the owner does not answer; members that it named were asked")
 	eventMetrics = event.Define(1057, "metrics.unserved", "the metrics cannot be served; callers are served all the same")
 	eventReload  = event.Define(1059, "settings.reloaded", "the settings were read again; changed addresses take a restart")
 	eventUnread  = event.Define(1060, "settings.unread", "the settings cannot be read; those in force stay")
--- a/process/peers.go
+++ b/process/peers.go
@@ -293,30 +293,40 @@
 	case tenure.StepReplace:
 		p.keeper.Replace(ctx, owner, departure)
 	case tenure.StepAsk:
-		if p.confirmed(ctx, owner) {
-			p.log.Info(eventSilent, "owner", owner, "silence", silence)
+		opinion := p.ask(ctx, owner)
+		p.log.Info(eventSilent, "owner", owner, "silence", silence, "departure", departure, "opinion", opinion)
+		if opinion.Confirms(silence) {
 			p.keeper.Replace(ctx, owner, departure)
 		}
 	}
 }
 
-// confirmed reports whether no other member hears the owner either. The members are asked at the same time,
-// since some may have gone with the owner.
-func (p *Process) confirmed(ctx context.Context, owner tenure.Member) bool {
+// ask returns what the members that the owner has named say of it. They are asked at the same time, since some
+// may have gone with the owner.
+func (p *Process) ask(ctx context.Context, owner tenure.Member) tenure.Opinion {
 	p.mu.Lock()
 	members := p.members
 	p.mu.Unlock()
-	hears := make(chan bool, len(members))
+	if len(members) == 0 {
+		return tenure.OpinionSilent // there is nobody else
+	}
+	opinions := make(chan tenure.Opinion, len(members))
 	for _, m := range members {
 		go func() {
-			notice, err := p.beat(ctx, tenure.Member(m), beatDoubt)
-			hears <- err == nil && notice.Owner == string(owner) && notice.Silence >= 0 && notice.Silence < beatPeriod.Milliseconds()+beatTimeout.Milliseconds()
+			notice, err := p.beat(ctx, tenure.Member(m), beatTimeout)
+			switch {
+			case err != nil:
+				opinions <- tenure.OpinionNone
+			case notice.Owner == string(owner) && notice.Silence >= 0 && notice.Silence < beatPeriod.Milliseconds()+beatTimeout.Milliseconds():
+				opinions <- tenure.OpinionHeard
+			default:
+				opinions <- tenure.OpinionSilent
+			}
 		}()
 	}
+	sum := tenure.OpinionNone
 	for range members {
-		if <-hears {
-			return false
-		}
+		sum = sum.With(<-opinions)
 	}
-	return true
+	return sum
 }
--- a/tenure/watch.go
+++ b/tenure/watch.go
@@ -2,8 +2,13 @@
 
 import "time"
 
-// Silence is how long the owner may be silent before its peers replace it.
-const Silence = 1200 * time.Millisecond
+const (
+	// Silence is how long the owner may be silent before its peers replace it.
+	Silence = 1200 * time.Millisecond
+	// aloneSilence is how long it may be silent towards a member that no other member answers either: that
+	// member is more likely to be slow or cut off itself.
+	aloneSilence = 3 * time.Second
+)
 
 // Answer is what came back on a sign of life to the owner.
 type Answer string
@@ -77,7 +82,7 @@
 		}
 	case AnswerRefused:
 		if late {
-			return StepAsk, DepartureSilent
+			return StepReplace, DepartureSilent
 		}
 	case AnswerNone:
 		if w.Silent(now) > Silence+handicap {
@@ -87,3 +92,29 @@
 	}
 	return StepWait, DepartureNone
 }
+
+// Opinion is what other members say of an owner that is silent.
+type Opinion string
+
+// Opinions of other members.
+const (
+	OpinionHeard  Opinion = "heard"  // one hears the owner
+	OpinionSilent Opinion = "silent" // none hears it, and one has answered
+	OpinionNone   Opinion = "none"   // none has answered
+)
+
+// With returns the opinion of two groups of members.
+func (o Opinion) With(other Opinion) Opinion {
+	switch {
+	case o == OpinionHeard || other == OpinionHeard:
+		return OpinionHeard
+	case o == OpinionSilent || other == OpinionSilent:
+		return OpinionSilent
+	}
+	return OpinionNone
+}
+
+// Confirms reports whether the owner may be replaced after it has been silent for a time.
+func (o Opinion) Confirms(silence time.Duration) bool {
+	return o == OpinionSilent || o == OpinionNone && silence > aloneSilence
+}
--- a/tenure/watch_test.go
+++ b/tenure/watch_test.go
@@ -35,7 +35,7 @@
 		},
 		"no process": {
 			{tenure.AnswerRefused, 0, 10, tenure.StepWait, tenure.DepartureNone},
-			{tenure.AnswerRefused, 410, 420, tenure.StepAsk, tenure.DepartureSilent},
+			{tenure.AnswerRefused, 410, 420, tenure.StepReplace, tenure.DepartureSilent},
 		},
 		"silence counts from the last answer": {
 			{tenure.AnswerOwner, 100, 110, tenure.StepWait, tenure.DepartureNone},
@@ -86,3 +86,14 @@
 	await(t, clock, "later owner unknown", func() bool { return a.Owner() == b.Member })
 	require.False(t, a.Yielded())
 }
+
+// TestOpinion guards against a member that replaces a living owner because it is slow or cut off itself, so that
+// nobody answers it, and against an owner that nobody replaces after all others have gone as well.
+func TestOpinion(t *testing.T) {
+	require.Equal(t, tenure.OpinionHeard, tenure.OpinionNone.With(tenure.OpinionHeard).With(tenure.OpinionSilent))
+	require.Equal(t, tenure.OpinionSilent, tenure.OpinionNone.With(tenure.OpinionSilent).With(tenure.OpinionNone))
+	require.True(t, tenure.OpinionSilent.Confirms(tenure.Silence))
+	require.False(t, tenure.OpinionHeard.Confirms(time.Minute))
+	require.False(t, tenure.OpinionNone.Confirms(2*tenure.Silence))
+	require.True(t, tenure.OpinionNone.Confirms(3*tenure.Silence))
+}
