--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -59,6 +59,8 @@
 	// part is the partition that held the ledger when the tenure began.
 	part   int
 	holder Holder
+	// cores is the processor of this process.
+	cores float64
 	// began is when the tenure began.
 	began time.Time
 	// foreign is how long runs of the earlier owner are kept on workers that this one cannot reach: the
@@ -162,6 +164,8 @@
 	Log     event.Log
 	Config  *queue.Config
 	Holder  Holder
+	// Cores is the processor that the process may use; zero means a whole core.
+	Cores float64
 }
 
 // New returns the owner of a tenure that was gained.
@@ -170,7 +174,11 @@
 	if gained.Earlier == tenure.DepartureSilent {
 		foreign += tenure.TTL
 	}
+	if o.Cores <= 0 {
+		o.Cores = 1
+	}
 	return &Dispatcher{
+		cores: o.Cores,
 		store: o.Store, fleet: o.Fleet, advisor: o.Advisor, clients: o.Clients, bounds: o.Bounds, clock: o.Clock, log: o.Log, epoch: gained.Epoch, part: gained.Part, holder: o.Holder, foreign: foreign,
 		began: o.Clock.Now(), ctx: ctx, kick: make(chan struct{}, 1), config: o.Config,
 		jobs: map[task.JobID]*job{}, stations: map[worker.ID]*station{}, listed: map[worker.ID]worker.Listing{},
--- a/dispatch/station.go
+++ b/dispatch/station.go
@@ -18,11 +18,12 @@
 	renewWait = 900 * time.Millisecond
 	// renewSlack is added to renewWait before a renewal without an answer is repeated.
 	renewSlack = 500 * time.Millisecond
-	// renewGap is the pause after a renewal that listed an end, so that one more renewal lists several. It
-	// grows by busyGap for each worker on which something runs: the renewals of a second stay below a
-	// thousand, which is a third of a core.
-	renewGap = 25 * time.Millisecond
-	busyGap  = time.Millisecond
+	// renewGap is the pause after a renewal that listed an end, so that one more renewal lists several. It grows
+	// with the workers on which something runs, so that renewals take at most renewShare of the processor, at
+	// renewCost of a core each, which a thousand a second have taken.
+	renewGap   = 25 * time.Millisecond
+	renewCost  = 330 * time.Microsecond
+	renewShare = 0.66
 	// listRuns is the time between two looks at all that runs on a worker of which nothing is in doubt.
 	listRuns = time.Second
 	// orderTimeout bounds an order. Workers answer at once and are a few milliseconds away.
@@ -259,11 +260,18 @@
 		return 2 * renewGap
 	}
 	if ended || r.Wait == 0 {
-		return renewGap + time.Duration(d.busy)*busyGap
+		return renewPause(d.busy, d.cores)
 	}
 	return 0
 }
 
+// renewPause returns the pause after a renewal that listed an end, by the number of workers on which something
+// runs and the processor of the owner. In a burst of short tasks room becomes free only when an end is seen,
+// so a pause that is longer than the processor needs lowers the capacity of the pool.
+func renewPause(busy int, cores float64) time.Duration {
+	return renewGap + time.Duration(float64(busy)*float64(renewCost)/(renewShare*cores))
+}
+
 // unheard notes a renewal that failed.
 func (d *Dispatcher) unheard(s *station, err error, now time.Time) time.Duration {
 	refusal, refused := platform.Refusal(err)
--- a/process/peers.go
+++ b/process/peers.go
@@ -20,7 +20,7 @@
 	beatPeriod = 350 * time.Millisecond
 	// beatTimeout bounds the answer to one. Peers are a few milliseconds away; a slow one takes some ten.
 	beatTimeout = 500 * time.Millisecond
-	// beatAgain is the pause after an answer that casts doubt on the owner, beatDoubt bounds the answer to the
+	// beatAgain is the pause while no owner is known and after an answer that casts doubt on it, beatDoubt bounds the answer to the
 	// next sign. Their sum is the step in which the handicaps of members tell.
 	beatAgain = 50 * time.Millisecond
 	beatDoubt = 200 * time.Millisecond
@@ -207,11 +207,14 @@
 // beats tells the owner that this process lives, and replaces an owner that does not.
 func (p *Process) beats(ctx context.Context) {
 	var watch tenure.Watch
-	pause := beatPeriod
+	pause := beatAgain
 	for p.clock.Sleep(ctx, pause) == nil {
 		owner := p.keeper.Owner()
 		watch.Follow(owner, p.clock.Now())
 		pause = beatPeriod
+		if owner == "" {
+			pause = beatAgain // the first sign follows as soon as one is known
+		}
 		if owner == "" || owner == p.keeper.Member || p.stopping.Load() {
 			continue
 		}
--- a/process/process.go
+++ b/process/process.go
@@ -179,7 +179,7 @@
 	p.log.Info(eventGained, "epoch", epoch, "earlier", gained.Earlier)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := dispatch.New(ctx, gained, dispatch.Options{
-		Store: p.store, Fleet: p.fleet, Advisor: p.advisor, Clients: p.clients, Clock: p.clock, Log: p.log.With("epoch", epoch), Config: p.follower.Config(), Holder: p.keeper,
+		Store: p.store, Fleet: p.fleet, Advisor: p.advisor, Clients: p.clients, Clock: p.clock, Log: p.log.With("epoch", epoch), Config: p.follower.Config(), Holder: p.keeper, Cores: p.current().Cores,
 		Bounds: bounds(p.current().Contract),
 	})
 	p.mu.Lock()
