--- a/standin/fabric/worker.go
+++ b/standin/fabric/worker.go
@@ -27,6 +27,9 @@
 	runs    map[string]*run
 	ended   [][]any
 	last    int64
+	// lapsed is the last end that was listed when the lease expired: acknowledgements of it and of earlier ones
+	// count for nothing.
+	lapsed  int64
 	highest map[string]int64
 	change  chan struct{}
 	// dark workers answer nothing and run on; dead ones have ended.
@@ -250,6 +253,7 @@
 	if w.clock() < w.until {
 		return
 	}
+	w.lapsed = w.last
 	for _, n := range w.runs {
 		w.end(n, "lapsed")
 	}
@@ -264,7 +268,9 @@
 	}
 	w.until = max(w.until, body.Deadline)
 	for len(w.ended) > 0 && w.ended[0][0].(int64) <= body.Seen {
-		w.world.note(w.ended[0][1].(string), w.ended[0][3].(string))
+		if w.ended[0][0].(int64) > w.lapsed {
+			w.world.note(w.ended[0][1].(string), w.ended[0][3].(string))
+		}
 		w.ended = w.ended[1:]
 	}
 	if len(w.ended) == 0 && body.Wait > 0 {
--- a/standin/fabric/world.go
+++ b/standin/fabric/world.go
@@ -29,7 +29,7 @@
 	mu         sync.Mutex
 	workers    map[string]*Worker // by machine
 	machines   map[string]string  // pool by machine
-	away       map[string]bool
+	away       map[string]string // state by machine that is not up
 	serial     int
 	servers    []*httptest.Server
 	violations []string
@@ -51,6 +51,14 @@
 	at   time.Time
 }
 
+// States of a machine.
+const (
+	stateUp     = "up"
+	stateMoving = "moving"
+	stateUpkeep = "upkeep"
+	stateDown   = "down"
+)
+
 const (
 	// awayTime is how long a machine is away for a move or maintenance.
 	awayTime = 150 * time.Millisecond
@@ -61,7 +69,7 @@
 // NewWorld starts a platform without workers.
 func NewWorld() *World {
 	w := &World{
-		workers: map[string]*Worker{}, machines: map[string]string{}, away: map[string]bool{}, running: map[string]string{},
+		workers: map[string]*Worker{}, machines: map[string]string{}, away: map[string]string{}, running: map[string]string{},
 		starts: map[string]int{}, noted: map[string]bool{}, quit: make(chan struct{}), holders: map[string]turn{}, done: map[string]bool{},
 	}
 	w.StoreAddress = w.serve(&w.Store)
@@ -164,11 +172,19 @@
 func (w *World) Crash(machine string, d time.Duration) {
 	w.mu.Lock()
 	worker := w.workers[machine]
+	if worker == nil {
+		w.mu.Unlock()
+		return // it is away
+	}
 	delete(w.workers, machine)
+	w.away[machine] = stateDown
 	w.mu.Unlock()
 	worker.kill()
 	time.AfterFunc(d, func() {
 		w.Store.Put("keyed.servers", worker.ID, nil)
+		w.mu.Lock()
+		delete(w.away, machine)
+		w.mu.Unlock()
 		w.boot(machine, worker.Pool, worker.CPU)
 	})
 }
@@ -220,7 +236,7 @@
 	}
 	w.mu.Lock()
 	pool, ok := w.machines[body.Machine]
-	if !ok || w.away[body.Machine] {
+	if !ok || w.away[body.Machine] != "" {
 		w.mu.Unlock()
 		reply(rw, http.StatusConflict, map[string]string{"reason": "busy"})
 		return
@@ -233,12 +249,12 @@
 		w.noted[done] = true
 	}
 	w.turns(body.Machine, r.Header.Get("X-Lease-Holder"))
-	to := pool
+	to, state := pool, stateUpkeep
 	if strings.HasSuffix(r.URL.Path, "machine-move") {
-		to = body.Pool
+		to, state = body.Pool, stateMoving
 	}
 	w.machines[body.Machine] = to
-	w.away[body.Machine] = true
+	w.away[body.Machine] = state
 	w.orders = append(w.orders, strings.TrimPrefix(r.URL.Path, "/api/machine-")+" "+body.Machine+" "+to)
 	worker := w.workers[body.Machine]
 	delete(w.workers, body.Machine)
@@ -274,9 +290,9 @@
 	defer w.mu.Unlock()
 	list := []map[string]any{}
 	for id, pool := range w.machines {
-		state := "up"
-		if w.away[id] {
-			state = "moving"
+		state := stateUp
+		if away := w.away[id]; away != "" {
+			state = away
 		}
 		list = append(list, map[string]any{
 			"machine": id, "pool": pool, "state": state, "zone": "z1", "labels": []string{"a", "r1-1"},
