dispatch: keep what the queue of a job said with the job

All entries lose power while the partition with the configuration is away; the new owner has the jobs, which the ledger's move now keeps within reach, but no configuration, and took the missing number of attempts for one: a job with a task that failed once was shown as failed.

Change: the stored job holds attempts, priority, stretch, latency and advice of its queue; they hold until the configuration names the queue. process TestConfigurationAway fails on the old code (1 start instead of 2).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -236,7 +236,8 @@
 	d.wake()
 }
 
-// route takes the pool of a job's queue from the configuration. A queue that was removed keeps its last pool.
+// route takes what a job's queue says from the configuration. A queue that was removed, or is not known yet,
+// keeps what it said last.
 func (d *Dispatcher) route(j *job) {
 	q, ok := d.config.Queue(queue.Name(j.Queue))
 	if !ok {
--- a/dispatch/durable.go
+++ b/dispatch/durable.go
@@ -8,6 +8,7 @@
 
 	"hibiscuslane.example/hibiscuslane/ledger"
 	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/queue"
 	"hibiscuslane.example/hibiscuslane/task"
 	"hibiscuslane.example/hibiscuslane/worker"
 )
@@ -267,7 +268,11 @@
 
 // adopt adds a stored job and the runs that its previous owner ordered.
 func (d *Dispatcher) adopt(restored *task.Job) {
-	j := &job{Job: restored, stored: true, intake: true}
+	policy := restored.Policy
+	j := &job{Job: restored, stored: true, intake: true, queue: queue.Queue{
+		Name: queue.Name(restored.Queue), Pool: restored.Pool, Attempts: policy.Attempts, Priority: policy.Priority,
+		Stretch: policy.Stretch, Latency: policy.Latency, Advised: policy.Advised,
+	}}
 	d.jobs[j.ID] = j
 	if j.Outcome != "" {
 		return
--- a/dispatch/intake.go
+++ b/dispatch/intake.go
@@ -52,6 +52,7 @@
 	}
 	now := d.clock.Now()
 	j := &job{Job: task.New(id, string(name), q.Pool, spec, now), queue: q}
+	j.Policy = task.Policy{Attempts: q.Attempts, Priority: q.Priority, Stretch: q.Stretch, Latency: q.Latency, Advised: q.Advised}
 	d.jobs[id] = j
 	d.insert(j)
 	d.arrived(j, now)
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -377,7 +377,8 @@
 	}
 	t.Blamed = append(t.Blamed, string(r.worker))
 	t.Attempts++
-	if r.step.Lasting || t.Attempts < max(r.job.queue.Attempts, 1) {
+	limit := r.job.queue.Attempts
+	if r.step.Lasting || limit <= 0 || t.Attempts < limit {
 		return
 	}
 	d.finish(r.job, task.StateFailed, now)
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"os"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -480,3 +481,25 @@
 	w.submit(second, "desk", fabric.JobID(1), fabric.Job(4000, 50, 1))
 	require.Eventually(t, func() bool { return w.WaveCompleted(2) }, patience, poll)
 }
+
+// TestConfigurationAway guards against a job that fails at its first failed run, because the new owner has the
+// jobs and cannot read the configuration.
+func TestConfigurationAway(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	w.Publish(1, []string{"desk"}, "")
+	w.AddMachine("desk", cores16, false)
+	first := w.start("entry-1")
+	body := strings.Replace(fabric.Job(4000, 1500, 1), `"spec":"4000 1500"`, `"spec":"4000 1500 fails"`, 1)
+	w.submit(first, "desk", fabric.JobID(1), body)
+	require.Eventually(t, func() bool { return w.Starts(fabric.JobID(1)+".0.0.0") == 1 }, patience, poll)
+	w.Store.SetFaults(fabric.Faults{Away: []string{"keyed.op/0"}})
+	first.stop()
+	second := &entry{settings: first.settings}
+	second.settings.ID, second.settings.Callers, second.settings.Ready, second.settings.Peers = "entry-2", freeAddress(t), freeAddress(t), freeAddress(t)
+	w.run(second)
+	require.Eventually(t, func() bool { return w.Noted(fabric.JobID(1)+".0.0.0") == 1 }, patience, poll)
+	w.Store.SetFaults(fabric.Faults{})
+	require.Eventually(t, func() bool { return w.state(second, "desk", fabric.JobID(1)) == fabric.Failed }, patience, poll)
+	require.Equal(t, 2, w.Starts(fabric.JobID(1)+".0.0.0"))
+}
--- a/standin/fabric/caller.go
+++ b/standin/fabric/caller.go
@@ -12,6 +12,7 @@
 	Completed = `200 {"state":"completed"}`
 	Running   = `200 {"state":"running"}`
 	Cancelled = `200 {"state":"cancelled"}`
+	Failed    = `200 {"state":"failed"}`
 	Missing   = "410 "
 )
 
--- a/standin/fabric/world.go
+++ b/standin/fabric/world.go
@@ -29,13 +29,14 @@
 	mu         sync.Mutex
 	workers    map[string]*Worker // by machine
 	machines   map[string]string  // pool by machine
-	away       map[string]string // state by machine that is not up
+	away       map[string]string  // state by machine that is not up
 	serial     int
 	servers    []*httptest.Server
 	violations []string
 	running    map[string]string // worker by task
 	starts     map[string]int
 	noted      map[string]bool
+	acks       map[string]int
 	orders     []string
 	// jobs are the tasks of each step of the jobs that were handed in, by job; nil if they are not checked.
 	jobs map[string][]int
@@ -70,7 +71,7 @@
 func NewWorld() *World {
 	w := &World{
 		workers: map[string]*Worker{}, machines: map[string]string{}, away: map[string]string{}, running: map[string]string{},
-		starts: map[string]int{}, noted: map[string]bool{}, quit: make(chan struct{}), holders: map[string]turn{}, done: map[string]bool{},
+		starts: map[string]int{}, noted: map[string]bool{}, quit: make(chan struct{}), holders: map[string]turn{}, done: map[string]bool{}, acks: map[string]int{},
 	}
 	w.StoreAddress = w.serve(&w.Store)
 	w.FleetAddress = w.serve(http.HandlerFunc(w.fleet))
@@ -397,7 +398,15 @@
 func (w *World) note(task, how string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.acks[task]++
 	if how == "done" {
 		w.noted[task] = true
 	}
 }
+
+// Noted returns how many ends of a task were acknowledged.
+func (w *World) Noted(task string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.acks[task]
+}
--- a/task/job.go
+++ b/task/job.go
@@ -62,13 +62,25 @@
 	Open int
 }
 
+// Policy is what the queue of a job said when the job was accepted. An owner goes by it while it does not know
+// the configuration, or the configuration does not name the queue any more.
+type Policy struct {
+	// Attempts is the number of failed runs of a task after which the job has failed; zero if it is not known.
+	Attempts int           `json:"attempts,omitempty"`
+	Priority int           `json:"priority,omitempty"`
+	Stretch  float64       `json:"stretch,omitempty"`
+	Latency  time.Duration `json:"latency,omitempty"` // nanoseconds
+	Advised  bool          `json:"advised,omitempty"`
+}
+
 // Job is a job with its progress.
 type Job struct {
 	ID    JobID
 	Queue string
 	// Pool is the pool of the queue, as the last configuration that had the queue says.
-	Pool pool.Name
-	Spec Spec
+	Pool   pool.Name
+	Policy Policy
+	Spec   Spec
 	// Accepted is when the job was accepted.
 	Accepted time.Time
 	// Ended is when the job reached its final state.
--- a/task/record.go
+++ b/task/record.go
@@ -33,12 +33,13 @@
 	Queue    string    `json:"queue"`
 	Pool     pool.Name `json:"pool"`
 	Accepted int64     `json:"accepted"` // Unix milliseconds
+	Policy   Policy    `json:"policy"`
 	Spec     Spec      `json:"spec"`
 }
 
 // Intake returns the stored form of what a caller handed in. It never changes.
 func (j *Job) Intake() ([]byte, error) {
-	data, err := json.Marshal(intake{Queue: j.Queue, Pool: j.Pool, Accepted: j.Accepted.UnixMilli(), Spec: j.Spec})
+	data, err := json.Marshal(intake{Queue: j.Queue, Pool: j.Pool, Accepted: j.Accepted.UnixMilli(), Policy: j.Policy, Spec: j.Spec})
 	if err != nil {
 		return nil, &RecordError{ID: j.ID, Cause: err}
 	}
@@ -51,7 +52,9 @@
 	if err := json.Unmarshal(data, &in); err != nil {
 		return nil, &RecordError{ID: id, Cause: err}
 	}
-	return New(id, in.Queue, in.Pool, in.Spec, time.UnixMilli(in.Accepted)), nil
+	j := New(id, in.Queue, in.Pool, in.Spec, time.UnixMilli(in.Accepted))
+	j.Policy = in.Policy
+	return j, nil
 }
 
 // taskRecord is the progress of a task that is not done.
