tenure: a member keeps its doubts of an owner that it forgets and learns again

Requests that its new life turns away let a process forget the owner, the store named it again, and each time the handicap began anew.

Change: a watch goes on while no owner is known and starts anew for another one only. tenure TestForgotten fails on the old code.

--- a/soak/entry_test.go
+++ b/soak/entry_test.go
@@ -37,6 +37,10 @@
 	exits  []string
 }
 
+// cores are what the settings of entries say of their processors, which decides who replaces an owner first. The
+// smallest and the largest are those of the users' grown deployments.
+var cores = []float64{0.4, 0.8, 0.192, 0.4, 0.192}
+
 func freePort(t *testing.T, ip string) int {
 	t.Helper()
 	l, err := net.Listen("tcp", ip+":0")
@@ -59,7 +63,7 @@
 	e.settings = map[string]any{
 		"node": e.name, "zone": "z1", "ip": ip, "internal_ports": []int{port, port + 1},
 		"listen":   map[string]string{"frontend_addr": e.callers, "readiness_addr": e.ready},
-		"limits":   map[string]float64{"cpu_share": 1, "cores": 1},
+		"limits":   map[string]float64{"cpu_share": cores[n%len(cores)], "cores": 1},
 		"platform": map[string]string{"address": e.store.address()}, "cloud": map[string]string{"address": e.fleet.address()},
 		"bounds": map[string]float64{"grace_s": 5, "max_hold_ms": 6000, "status_s": 60, "lease_ms": float64(turnBound.Milliseconds()), "move_s": 0.15, "maintenance_s": 0.15},
 	}
--- a/tenure/watch.go
+++ b/tenure/watch.go
@@ -45,9 +45,10 @@
 	strange time.Time
 }
 
-// Follow sets the member that is watched.
+// Follow sets the member that is watched. While no owner is known the last one stays: callers' requests that it
+// turns away let a process forget the owner and learn it again several times a second.
 func (w *Watch) Follow(owner Member, now time.Time) {
-	if w.owner != owner {
+	if owner != "" && w.owner != owner {
 		*w = Watch{owner: owner, since: now}
 	}
 }
--- a/tenure/watch_test.go
+++ b/tenure/watch_test.go
@@ -97,3 +97,18 @@
 	require.False(t, tenure.OpinionNone.Confirms(2*tenure.Silence))
 	require.True(t, tenure.OpinionNone.Confirms(3*tenure.Silence))
 }
+
+// TestForgotten guards against a departed owner that nobody replaces, because it is forgotten and learned again
+// before a handicap has passed.
+func TestForgotten(t *testing.T) {
+	var w tenure.Watch
+	begin := time.UnixMilli(0)
+	step := tenure.StepWait
+	for at := begin; step == tenure.StepWait; at = at.Add(100 * time.Millisecond) {
+		require.Less(t, at.Sub(begin), time.Second)
+		w.Follow("", at)
+		w.Follow("a:1/x", at)
+		step, _ = w.Judge(tenure.AnswerOther, at, at, 300*time.Millisecond)
+	}
+	require.Equal(t, tenure.StepReplace, step)
+}
