--- a/tenure/tenure.go
+++ b/tenure/tenure.go
@@ -6,7 +6,6 @@
 
 import (
 	"context"
-	"errors"
 	"strconv"
 	"strings"
 	"sync"
@@ -31,8 +30,6 @@
 	// reclaimDelay is how long a process that gave way leaves the ownership to its peers. They send a sign of
 	// life each 350 ms and learn from the answer that they may replace it.
 	reclaimDelay = 1500 * time.Millisecond
-	// moveDelay is the pause before the claim of a moved ledger is repeated.
-	moveDelay = 100 * time.Millisecond
 	// topic holds the claims under one key; the newest names the owner.
 	topic platform.Topic = "keyed.owner"
 	// part is the only partition of the claims.
@@ -383,59 +380,6 @@
 	k.apply(Gained{Epoch: c.epoch(), Earlier: earlier, Part: c.part})
 }
 
-// Move names another partition of the ledger. Its claim is repeated until the store has answered it, since
-// a later owner goes by the newest one; an error says that the tenure is over.
-func (k *Keeper) Move(ctx context.Context, epoch platform.Epoch, to int) error {
-	k.mu.Lock()
-	mine := claim{member: k.Member, part: to, offset: k.end}
-	k.mu.Unlock()
-	for {
-		err := k.rename(ctx, mine)
-		if err == nil {
-			k.mu.Lock()
-			defer k.mu.Unlock()
-			if k.epoch != epoch {
-				return &OverError{Epoch: epoch}
-			}
-			k.part, k.end = to, mine.offset+1
-			return nil
-		}
-		k.Log.Info(eventMove, "part", to, "epoch", epoch, "error", err)
-		var over *OverError
-		if errors.As(err, &over) {
-			k.apply(Lost{Reason: "another process has claimed the ownership"})
-			return over
-		}
-		if k.Silence() > TTL {
-			k.apply(Lost{Reason: "the store does not answer"})
-			return &OverError{Epoch: epoch}
-		}
-		if err := k.Clock.Sleep(ctx, moveDelay); err != nil {
-			return err
-		}
-	}
-}
-
-// rename appends a claim once. If the store refuses it, an earlier try may have been stored.
-func (k *Keeper) rename(ctx context.Context, mine claim) error {
-	call, cancel := k.Clock.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	refusal := k.Store.AppendAt(call, topic, part, mine.offset, mine.record())
-	if !platform.IsRefused(refusal) {
-		return refusal
-	}
-	newest, _, err := k.newest(ctx)
-	switch {
-	case err != nil:
-		return err
-	case newest.offset < mine.offset:
-		return refusal
-	case newest != mine:
-		return &OverError{Epoch: mine.epoch()}
-	}
-	return nil
-}
-
 // Reach reports whether this process reaches the claims, which are what an owner that cannot reach the
 // store would have to hand over.
 func (k *Keeper) Reach(ctx context.Context) bool {
--- a/tenure/watch.go
+++ b/tenure/watch.go
@@ -34,9 +34,9 @@
 	StepAsk     Step = "ask"     // claim it unless another member hears the owner
 )
 
-// Watch judges the owner by its answers. After a loss of power all members find a former owner at the same
-// time, and the smallest instance needs the fewest microseconds of work to claim first; so each leaves the
-// ownership to larger ones for its handicap.
+// Watch judges the owner by its answers. After a loss of power all members find out at the same time that the
+// owner has gone, and chance decides who claims first; so each leaves the ownership to larger instances for
+// its handicap.
 type Watch struct {
 	// owner is the member that is watched, since when it last answered as the owner or became known.
 	owner Member
