dispatch: encode jobs in one place

No change of behaviour; the deletion of an ended job's intake now follows its progress in the same write instead of preceding it.

--- a/dispatch/durable.go
+++ b/dispatch/durable.go
@@ -138,25 +138,32 @@
 
 // records returns the stored form of what has changed in a job.
 func (d *Dispatcher) records(j *job) []platform.Record {
+	first := !j.intake
+	j.intake = true
+	records, ok := d.encode(j, first)
+	if ok && j.Outcome != "" {
+		records = append(records, platform.Record{Key: intakeKey + string(j.ID)})
+	}
+	return records
+}
+
+// encode returns the stored form of a job, with or without its intake. It reports whether that is complete.
+func (d *Dispatcher) encode(j *job, withIntake bool) ([]platform.Record, bool) {
 	var records []platform.Record
-	if !j.intake {
-		j.intake = true
+	if withIntake {
 		data, err := j.Intake()
 		if err != nil {
 			d.log.Error(eventEncode, "job", j.ID, "error", err)
-			return nil
+			return nil, false
 		}
 		records = append(records, platform.Record{Key: intakeKey + string(j.ID), Value: data})
 	}
 	data, err := j.Progress()
 	if err != nil {
 		d.log.Error(eventEncode, "job", j.ID, "error", err)
-		return records
+		return records, false
 	}
-	if j.Outcome != "" {
-		records = append(records, platform.Record{Key: intakeKey + string(j.ID)})
-	}
-	return append(records, platform.Record{Key: progressKey + string(j.ID), Value: data})
+	return append(records, platform.Record{Key: progressKey + string(j.ID), Value: data}), true
 }
 
 // Snapshot implements ledger.Mover.
@@ -166,7 +173,8 @@
 	var records []platform.Record
 	for _, j := range d.jobs {
 		if j.stored {
-			records = append(records, d.whole(j)...)
+			whole, _ := d.encode(j, j.Outcome == "") // what cannot be encoded is logged
+			records = append(records, whole...)
 		}
 	}
 	for _, w := range d.upkeep.waves {
@@ -180,25 +188,6 @@
 	return records
 }
 
-// whole returns the stored form of a job.
-func (d *Dispatcher) whole(j *job) []platform.Record {
-	var records []platform.Record
-	if j.Outcome == "" {
-		data, err := j.Intake()
-		if err != nil {
-			d.log.Error(eventEncode, "job", j.ID, "error", err)
-			return nil
-		}
-		records = append(records, platform.Record{Key: intakeKey + string(j.ID), Value: data})
-	}
-	data, err := j.Progress()
-	if err != nil {
-		d.log.Error(eventEncode, "job", j.ID, "error", err)
-		return records
-	}
-	return append(records, platform.Record{Key: progressKey + string(j.ID), Value: data})
-}
-
 // Move implements ledger.Mover.
 func (d *Dispatcher) Move(ctx context.Context, part int) error {
 	return d.holder.Move(ctx, d.epoch, part)
