dispatch, balance: log pools that lack capacity, the slack of placed tasks, the allowed time of jobs

The log could not tell these apart: it showed neither that a pool lacked machines and why none came, nor how close to its deadline a job was when its tasks were placed. No decision changes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -91,6 +91,28 @@
 	return math.Max(float64(p.LongRunningReserved)+math.Max(work, float64(p.BatchReserved)), float64(p.MinMachines)*p.meanMachineCapacity())
 }
 
+// Deficit returns the capacity that the pool lacks, in thousandths of a core. It is negative if the pool has more than
+// it needs.
+func (p *Pool) Deficit(s Settings) float64 {
+	return p.requiredCapacity(s) - float64(p.availableCapacity())
+}
+
+// MachineCounts returns how many machines of the pool are idle and may be moved, how many are pinned, and how many
+// are busy.
+func (p *Pool) MachineCounts() (idle, pinned, busy int) {
+	for _, m := range p.Machines {
+		switch {
+		case m.Pinned:
+			pinned++
+		case m.Idle:
+			idle++
+		default:
+			busy++
+		}
+	}
+	return idle, pinned, busy
+}
+
 // meanMachineCapacity returns the mean capacity of the machines of a pool.
 func (p *Pool) meanMachineCapacity() float64 {
 	if len(p.Machines) == 0 {
@@ -108,10 +130,9 @@
 func Plan(pools []*Pool, s Settings, now time.Time) []Move {
 	var moves []Move
 	byDeficit := append([]*Pool(nil), pools...)
-	deficit := func(p *Pool) float64 { return p.requiredCapacity(s) - float64(p.availableCapacity()) }
-	sort.SliceStable(byDeficit, func(i, j int) bool { return deficit(byDeficit[i]) > deficit(byDeficit[j]) })
+	sort.SliceStable(byDeficit, func(i, j int) bool { return byDeficit[i].Deficit(s) > byDeficit[j].Deficit(s) })
 	for _, p := range byDeficit {
-		for !p.Spare && deficit(p) > 0 {
+		for !p.Spare && p.Deficit(s) > 0 {
 			from, i := findDonor(pools, p, s)
 			if from == nil {
 				break
--- a/dispatch/balance.go
+++ b/dispatch/balance.go
@@ -17,6 +17,8 @@
 	// meanWorkSmoothing is the weight of a new job in the moving average of the work per job. It is small
 	// because the work per job varies by an order of magnitude.
 	meanWorkSmoothing = 0.05
+	// shortPoolLogInterval is the minimum time between two log lines about a pool that lacks capacity.
+	shortPoolLogInterval = 500 * time.Millisecond
 )
 
 // arrivalStats estimates the work that arrives in one queue.
@@ -103,6 +105,32 @@
 	for _, move := range balance.Plan(list, balance.DefaultSettings(), now) {
 		d.moveMachine(move, now)
 	}
+	d.logShortPools(list, now)
+}
+
+// logShortPools logs the pools that lack capacity although all possible moves were planned, each pool at most once in
+// shortPoolLogInterval.
+func (d *Dispatcher) logShortPools(pools []*balance.Pool, now time.Time) {
+	for _, p := range pools {
+		deficit := p.Deficit(balance.DefaultSettings())
+		if p.Spare || deficit <= 0 || now.Sub(d.shortPoolLoggedAt[p.Name]) < shortPoolLogInterval {
+			continue
+		}
+		if d.shortPoolLoggedAt == nil {
+			d.shortPoolLoggedAt = map[pool.Name]time.Time{}
+		}
+		d.shortPoolLoggedAt[p.Name] = now
+		var idleDonors, pinnedDonors, busyDonors int
+		for _, other := range pools {
+			if other != p {
+				idle, pinned, busy := other.MachineCounts()
+				idleDonors, pinnedDonors, busyDonors = idleDonors+idle, pinnedDonors+pinned, busyDonors+busy
+			}
+		}
+		idle, pinned, busy := p.MachineCounts()
+		d.log.Info(eventPoolShort, "pool", p.Name, "deficit", int64(deficit), "incoming", p.IncomingCapacity, "arriving", int64(p.ArrivalRate), "backlog", int64(p.Backlog), "reserved", p.BatchReserved, "lasting", p.LongRunningReserved,
+			"idle", idle, "pinned", pinned, "busy", busy, "idleDonors", idleDonors, "pinnedDonors", pinnedDonors, "busyDonors", busyDonors)
+	}
 }
 
 // currentWorkers returns for each machine the registered worker with the latest incarnation, leaving out
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -97,8 +97,10 @@
 	dirtyJobs     []*job // jobs to write in the next cycle
 	maintenance   maintenance
 	arrivals      map[queue.Name]*arrivalStats
-	adviceByStep  map[string]*advice
-	counters      Counters
+	// shortPoolLoggedAt is when a pool was last logged as lacking capacity.
+	shortPoolLoggedAt map[pool.Name]time.Time
+	adviceByStep      map[string]*advice
+	counters          Counters
 	// busyWorkers is the number of workers with at least one run.
 	busyWorkers int
 	// draining is set once no new jobs and tasks are taken.
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -120,12 +120,17 @@
 	if j.Spec.RepeatCount > 0 {
 		start = j.Spec.DueTime(number)
 	}
-	allowed := time.Duration(j.queue.MaxStretch*float64(j.CriticalPath(nil))) + j.queue.LatencyAllowance
+	allowed := j.allowedTime()
 	pending.SoftDeadline = start.Add(allowed)
 	pending.HardDeadline = start.Add(hardDeadlineFactor * allowed)
 	pending.RemainingPath = j.CriticalPath(occurrence)
 }
 
+// allowedTime returns how long a job, or one occurrence of it, may take to count as in time.
+func (j *job) allowedTime() time.Duration {
+	return time.Duration(j.queue.MaxStretch*float64(j.CriticalPath(nil))) + j.queue.LatencyAllowance
+}
+
 // availableWorkers returns the workers of a pool that can take tasks.
 func (d *Dispatcher) availableWorkers(name pool.Name, now time.Time) []*schedule.Worker {
 	var workers []*schedule.Worker
@@ -177,7 +182,7 @@
 	d.runs[r.id] = r
 	s.reserve(r)
 	j.activeRuns++
-	d.log.Info(eventTaskPlaced, "task", key.String(), "run", r.id.number, "worker", s.id, "free", s.registration.Capacity.Sub(s.reserved).CPU, "priority", j.queue.Priority)
+	d.log.Info(eventTaskPlaced, "task", key.String(), "run", r.id.number, "worker", s.id, "free", s.registration.Capacity.Sub(s.reserved).CPU, "priority", j.queue.Priority, "slack", a.Pending.Slack(r.startSentAt))
 	d.markDirty(j, func(err error) {
 		if err != nil {
 			return // the term has ended
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -82,6 +82,12 @@
 	return 3
 }
 
+// Slack returns how much later than now the remaining path may start for the job to meet the soft deadline. It is
+// negative if the job will be late.
+func (p *PendingStep) Slack(now time.Time) time.Duration {
+	return p.SoftDeadline.Sub(now.Add(p.RemainingPath))
+}
+
 // SortByUrgency sorts steps by urgency class, then by priority, then by slack. In a burst beyond the capacity, not
 // all jobs can be in time: those that still can be go first, the ones with the least slack foremost, so that no
 // capacity is spent on jobs that will be late in any case.
