--- a/dispatch/balance.go
+++ b/dispatch/balance.go
@@ -111,6 +111,11 @@
 // logShortPools logs the pools that lack capacity although all possible moves were planned, each pool at most once in
 // shortPoolLogInterval.
 func (d *Dispatcher) logShortPools(pools []*balance.Pool, now time.Time) {
+	var idleMachines, pinnedMachines, busyMachines int
+	for _, p := range pools {
+		idle, pinned, busy := p.MachineCounts()
+		idleMachines, pinnedMachines, busyMachines = idleMachines+idle, pinnedMachines+pinned, busyMachines+busy
+	}
 	for _, p := range pools {
 		deficit := p.Deficit(balance.DefaultSettings())
 		if p.Spare || deficit <= 0 || now.Sub(d.shortPoolLoggedAt[p.Name]) < shortPoolLogInterval {
@@ -120,16 +125,11 @@
 			d.shortPoolLoggedAt = map[pool.Name]time.Time{}
 		}
 		d.shortPoolLoggedAt[p.Name] = now
-		var idleDonors, pinnedDonors, busyDonors int
-		for _, other := range pools {
-			if other != p {
-				idle, pinned, busy := other.MachineCounts()
-				idleDonors, pinnedDonors, busyDonors = idleDonors+idle, pinnedDonors+pinned, busyDonors+busy
-			}
-		}
 		idle, pinned, busy := p.MachineCounts()
-		d.log.Info(eventPoolShort, "pool", p.Name, "deficit", int64(deficit), "incoming", p.IncomingCapacity, "arriving", int64(p.ArrivalRate), "backlog", int64(p.Backlog), "reserved", p.BatchReserved, "lasting", p.LongRunningReserved,
-			"idle", idle, "pinned", pinned, "busy", busy, "idleDonors", idleDonors, "pinnedDonors", pinnedDonors, "busyDonors", busyDonors)
+		d.log.Info(eventPoolShort, "pool", p.Name, "deficit", int64(deficit), "incoming", p.IncomingCapacity,
+			"arriving", int64(p.ArrivalRate), "backlog", int64(p.Backlog), "reserved", p.BatchReserved, "lasting", p.LongRunningReserved,
+			"idle", idle, "pinned", pinned, "busy", busy,
+			"idleDonors", idleMachines-idle, "pinnedDonors", pinnedMachines-pinned, "busyDonors", busyMachines-busy)
 	}
 }
 
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -97,7 +97,7 @@
 	dirtyJobs     []*job // jobs to write in the next cycle
 	maintenance   maintenance
 	arrivals      map[queue.Name]*arrivalStats
-	// shortPoolLoggedAt is when a pool was last logged as lacking capacity.
+	// shortPoolLoggedAt is when each pool was last logged as lacking capacity.
 	shortPoolLoggedAt map[pool.Name]time.Time
 	adviceByStep      map[string]*advice
 	counters          Counters
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -36,7 +36,7 @@
 	eventWaveCompleted          = event.Define(2532, "wave.completed", "all machines of a maintenance wave were maintained")
 	eventMaintenanceConfirmed   = event.Define(2533, "machine.maintained", "an order to maintain a machine was confirmed")
 	eventMoveOrdered            = event.Define(2534, "machine.moved", "the move of a machine to another pool was ordered")
-	eventPoolShort              = event.Define(2541, "pool.short", "a pool needs more capacity than it has, with all moves that are possible now; the fields donors count the machines of the other pools")
+	eventPoolShort              = event.Define(2541, "pool.short", "a pool needs more capacity than it has and gets by the moves ordered; the fields idle, pinned and busy count its machines, those that end in Donors the machines of all other pools")
 	eventMachineOrderFailed     = event.Define(2535, "machine.refused", "an order for a machine failed or was refused")
 	eventTaskEvicted            = event.Define(2536, "task.evicted", "a task is stopped so that its machine can be maintained")
 	eventSpeedFailed            = event.Define(2538, "pace.failed", "an order to change the speed of a task failed; it is repeated")
