--- a/balance/replay_test.go
+++ b/balance/replay_test.go
@@ -219,6 +219,7 @@
 			if bySlack {
 				allowed := time.Duration(maxStretch*float64(j.CriticalPath(nil))) + latencyAllowance
 				pending.SoftDeadline, pending.HardDeadline, pending.RemainingPath = j.AcceptedAt.Add(allowed), j.AcceptedAt.Add(hardDeadlineFactor*allowed), j.CriticalPath(occurrence)
+				pending.InitialSlack = allowed - j.CriticalPath(nil)
 			}
 			list = append(list, pending)
 		}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -127,7 +127,8 @@
 	}
 }
 
-// setDeadlines sets the deadlines and the remaining path, from which the order of pending steps follows.
+// setDeadlines sets the deadlines, the remaining path and the initial slack, from which the order of pending steps
+// follows.
 func (d *Dispatcher) setDeadlines(j *job, number int, occurrence *task.Occurrence, pending *schedule.PendingStep) {
 	start := j.AcceptedAt
 	if j.Spec.RepeatCount > 0 {
@@ -137,6 +138,7 @@
 	pending.SoftDeadline = start.Add(allowed)
 	pending.HardDeadline = start.Add(hardDeadlineFactor * allowed)
 	pending.RemainingPath = j.CriticalPath(occurrence)
+	pending.InitialSlack = allowed - j.CriticalPath(nil)
 }
 
 // allowedTime returns how long a job, or one occurrence of it, may take to count as in time.
--- a/schedule/overload_test.go
+++ b/schedule/overload_test.go
@@ -115,7 +115,7 @@
 		Job: j.id, Step: j.current, Spec: j.steps[j.current].spec, Tasks: slices.Clone(j.waiting),
 
 		HasStarted:   j.current > 0 || len(j.waiting) < j.steps[0].spec.Count,
-		SoftDeadline: j.acceptedAt.Add(allowed), HardDeadline: j.acceptedAt.Add(3 * allowed), RemainingPath: remaining,
+		SoftDeadline: j.acceptedAt.Add(allowed), HardDeadline: j.acceptedAt.Add(3 * allowed), RemainingPath: remaining, InitialSlack: allowed - path,
 	}
 }
 
@@ -190,3 +190,25 @@
 		require.Greater(t, share, requiredShare, "seed %d", seed)
 	}
 }
+
+// TestTightJobStarves guards against a job that is allowed little more than its path and therefore, although it can
+// still be in time, goes after all others from the moment it is accepted.
+func TestTightJobStarves(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	pending := func(id task.JobID, path, initialSlack, slack time.Duration) *schedule.PendingStep {
+		deadline := now.Add(path + slack)
+		return &schedule.PendingStep{Job: id, RemainingPath: path, InitialSlack: initialSlack, SoftDeadline: deadline, HardDeadline: deadline.Add(path)}
+	}
+	const tight, ample, late = "tight", "ample", "late"
+	steps := []*schedule.PendingStep{
+		pending(late, time.Second, time.Second, -time.Second),
+		pending(ample, 10*time.Second, 6*time.Second, 4*time.Second),
+		pending(tight, 20*time.Second, 4*time.Second, 3*time.Second),
+	}
+	schedule.SortByUrgency(steps, now)
+	var order []task.JobID
+	for _, p := range steps {
+		order = append(order, p.Job)
+	}
+	require.Equal(t, []task.JobID{tight, ample, late}, order)
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -54,6 +54,8 @@
 	// what remains of its critical path.
 	SoftDeadline  time.Time
 	RemainingPath time.Duration
+	// InitialSlack is the slack that the job had when it was accepted or, if it is scheduled, due.
+	InitialSlack time.Duration
 	// HasStarted is set if a task of the occurrence has been placed before.
 	HasStarted bool
 	// HardDeadline is the time after which completing the job has no value.
@@ -69,8 +71,13 @@
 	Worker  worker.ID
 }
 
-// estimateTolerance is the share of the remaining path by which a job may take longer than estimated.
-const estimateTolerance = 0.25
+const (
+	// estimateTolerance is the share of the remaining path by which a job may take longer than estimated.
+	estimateTolerance = 0.25
+	// maxReservedSlack is the largest share of its initial slack that a job may need in order to start. Without it, a
+	// job that is allowed little more than its path would go last from the beginning.
+	maxReservedSlack = 0.5
+)
 
 // urgencyClass returns the class of a step: long-running steps come first, then steps of jobs that can still meet
 // the soft deadline, of those that can meet the hard one, and of all others.
@@ -95,7 +102,8 @@
 	if p.HasStarted {
 		return p.Slack(now) >= -tolerance
 	}
-	return p.Slack(now) >= tolerance
+	reserve := min(tolerance, time.Duration(maxReservedSlack*float64(p.InitialSlack)))
+	return p.Slack(now) >= max(reserve, 0)
 }
 
 // Slack returns how much later than now the remaining path may start for the job to meet the soft deadline. It is
