--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -134,16 +134,18 @@
 	if j.Spec.RepeatCount > 0 {
 		start = j.Spec.DueTime(number)
 	}
-	allowed := j.allowedTime()
+	path := j.CriticalPath(nil)
+	allowed := j.allowedTime(path)
 	pending.SoftDeadline = start.Add(allowed)
 	pending.HardDeadline = start.Add(hardDeadlineFactor * allowed)
 	pending.RemainingPath = j.CriticalPath(occurrence)
-	pending.InitialSlack = allowed - j.CriticalPath(nil)
+	pending.InitialSlack = allowed - path
 }
 
-// allowedTime returns how long a job, or one occurrence of it, may take to count as in time.
-func (j *job) allowedTime() time.Duration {
-	return time.Duration(j.queue.MaxStretch*float64(j.CriticalPath(nil))) + j.queue.LatencyAllowance
+// allowedTime returns how long a job with the given critical path, or one occurrence of it, may take to count as in
+// time.
+func (j *job) allowedTime(path time.Duration) time.Duration {
+	return time.Duration(j.queue.MaxStretch*float64(path)) + j.queue.LatencyAllowance
 }
 
 // availableWorkers returns the workers of a pool that can take tasks.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -417,7 +417,7 @@
 	if j.Outcome == "" {
 		return
 	}
-	d.log.Info(eventJobEnded, "job", j.ID, "outcome", j.Outcome, "took", j.EndedAt.Sub(j.AcceptedAt), "allowed", j.allowedTime())
+	d.log.Info(eventJobEnded, "job", j.ID, "outcome", j.Outcome, "took", j.EndedAt.Sub(j.AcceptedAt), "allowed", j.allowedTime(j.CriticalPath(nil)))
 	d.openJobs = slices.DeleteFunc(d.openJobs, func(o *job) bool { return o == j })
 }
 
