dispatch: log how many tasks of a step are away when a long-running one ends

The users saw a lasting task ended while as many of its step were away as may be. The log said that a run had ended, but not whether an order, an expired lease or the worker ended it in that moment, nor how many others were away, so that a stale machine order, a lease that ran out and an eviction on old knowledge looked alike. task.away tells them apart by its fields cause, phase, order and away; task.evicted says what was counted when the eviction was decided. No change of behaviour.

--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -378,7 +378,7 @@
 	s.drainingForMaintenance = true
 	for _, r := range s.runs {
 		if r.step.LongRunning && r.phase == phaseRunning && d.canEvict(r, now) {
-			d.log.Info(eventTaskEvicted, "task", r.id.key.String(), "run", r.id.number, "worker", s.id, "machine", id, "wave", w.request.Number)
+			d.log.Info(eventTaskEvicted, "task", r.id.key.String(), "run", r.id.number, "worker", s.id, "machine", id, "wave", w.request.Number, "away", d.countOtherUnavailable(r, now), "most", r.step.MaxUnavailable)
 			d.stopRun(r, now)
 		}
 	}
@@ -388,9 +388,11 @@
 // be unavailable at a time, and a restarted task counts as unavailable until it has run at full speed for a
 // while.
 func (d *Dispatcher) canEvict(r *run, now time.Time) bool {
-	if r.step.MaxUnavailable == 0 {
-		return true
-	}
+	return r.step.MaxUnavailable == 0 || d.countOtherUnavailable(r, now) < r.step.MaxUnavailable
+}
+
+// countOtherUnavailable returns how many tasks of the step of a run, other than its own, are not at full speed.
+func (d *Dispatcher) countOtherUnavailable(r *run, now time.Time) int {
 	unavailable := 0
 	key := r.id.key
 	for i := range r.step.Count {
@@ -402,7 +404,7 @@
 			unavailable++
 		}
 	}
-	return unavailable < r.step.MaxUnavailable
+	return unavailable
 }
 
 // isAtFullSpeed reports whether a task has run at full speed on a reachable worker for minFullSpeedTime.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -290,7 +290,7 @@
 
 // endRun processes the end of a run.
 func (d *Dispatcher) endRun(r *run, cause worker.Cause, checkpoint task.Checkpoint, now time.Time) {
-	j, t := r.job, r.task()
+	j, t, phase := r.job, r.task(), r.phase
 	if r.startConfirmedAt.IsZero() && (cause == worker.CauseDone || cause == worker.CauseFailed) {
 		d.confirmStart(r, now)
 	}
@@ -303,6 +303,9 @@
 		return
 	}
 	d.log.Info(eventRunEnded, "task", r.id.key.String(), "run", r.id.number, "worker", r.workerID, "cause", cause)
+	if r.step.LongRunning && r.step.MaxUnavailable > 0 {
+		d.log.Info(eventTaskUnavailable, "task", r.id.key.String(), "run", r.id.number, "machine", r.machine, "cause", cause, "phase", phase, "order", d.maintenance.hasPendingOrder(r.machine), "away", d.countOtherUnavailable(r, now), "most", r.step.MaxUnavailable)
+	}
 	switch cause {
 	case worker.CauseDone:
 		d.recordSuccess(r, now)
