dispatch: a machine order counts as pending until the platform has confirmed or refused it

The users saw a lasting task ended by an order while others of its step were away.

Cause: a machine with an order was taken back into use 2.5 s after the order was given, or when a worker registered on it, although the order had no answer and was still being repeated. When the platform answered late, tasks were already placed there, and the order ended them, without the check that evictions make. The class of fault: a timeout taken for the end of an action that may still take effect.

Ruled out: waves alone do not show it, since a machine that is due is ordered again in the same cycle in which it is taken back (an earlier form of the test passed for that reason).

The order now leaves the machine reserved until it is confirmed; only then its downtime counts. A refusal because of an outage does not settle it if an earlier attempt had no answer.

--- a/dispatch/machine_order.go
+++ b/dispatch/machine_order.go
@@ -118,8 +118,10 @@
 	d.recordOrder(id, func() { go d.deliverMachineOrder(id, order, send, onConfirmed) })
 }
 
-// deliverMachineOrder repeats an order until the platform has confirmed or refused it.
+// deliverMachineOrder repeats an order until the platform has confirmed or refused it. After an attempt without a
+// response, a refusal because of an outage or overload does not settle the order: that attempt may still take effect.
 func (d *Dispatcher) deliverMachineOrder(id worker.MachineID, order machineOrder, send func(context.Context) error, onConfirmed func()) {
+	unanswered := false
 	for {
 		d.mu.Lock()
 		if r := d.maintenance.orderRecords[id]; r != nil {
@@ -129,7 +131,9 @@
 		callCtx, cancel := d.clock.WithTimeout(d.ctx, machineCallTimeout)
 		err := send(callCtx)
 		cancel()
-		if d.ctx.Err() != nil || d.handleMachineOrderResult(id, order, err, onConfirmed) {
+		unanswered = unanswered || err != nil && !platform.IsRefused(err)
+		mayTakeEffect := unanswered && (!platform.IsRefused(err) || platform.IsUnavailable(err))
+		if d.ctx.Err() != nil || d.handleMachineOrderResult(id, order, err, mayTakeEffect, onConfirmed) {
 			return
 		}
 		if d.clock.Sleep(d.ctx, machinePollInterval) != nil {
@@ -138,14 +142,14 @@
 	}
 }
 
-// handleMachineOrderResult processes the result of a machine order. It reports whether the order is settled
-// and need not be repeated.
-func (d *Dispatcher) handleMachineOrderResult(id worker.MachineID, order machineOrder, err error, onConfirmed func()) bool {
+// handleMachineOrderResult processes the result of a machine order, which may take effect despite an error if
+// mayTakeEffect is set. It reports whether the order is settled and need not be repeated.
+func (d *Dispatcher) handleMachineOrderResult(id worker.MachineID, order machineOrder, err error, mayTakeEffect bool, onConfirmed func()) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err != nil {
 		d.log.Info(eventMachineOrderFailed, "machine", id, "to", order.toPool, "error", err)
-		if !platform.IsRefused(err) {
+		if mayTakeEffect {
 			return false
 		}
 		delete(d.maintenance.pendingOrders, id)
@@ -154,11 +158,8 @@
 		}
 		return true
 	}
-	now := d.clock.Now()
-	order.since = now
-	if _, pending := d.maintenance.pendingOrders[id]; pending {
-		d.maintenance.pendingOrders[id] = order
-	}
+	order.since, order.confirmed = d.clock.Now(), true
+	d.maintenance.pendingOrders[id] = order
 	onConfirmed()
 	return true
 }
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -59,6 +59,9 @@
 	incarnation worker.Incarnation
 	// toPool is the pool to which the machine moves; empty for maintenance.
 	toPool pool.Name
+	// confirmed is set once the platform has confirmed the order. Until then the order may take effect at any time,
+	// also on a worker that has registered since it was given.
+	confirmed bool
 }
 
 // waveState is the progress of a maintenance wave.
@@ -79,9 +82,9 @@
 	runningPublished, completedPublished bool
 }
 
-// clearOrderOnReturn removes the pending order of a machine on which a new incarnation has registered.
+// clearOrderOnReturn removes the confirmed order of a machine on which a new incarnation has registered.
 func (m *maintenance) clearOrderOnReturn(id worker.MachineID, incarnation worker.Incarnation) {
-	if order, ok := m.pendingOrders[id]; ok && incarnation > order.incarnation {
+	if order, ok := m.pendingOrders[id]; ok && order.confirmed && incarnation > order.incarnation {
 		delete(m.pendingOrders, id)
 	}
 }
@@ -241,7 +244,8 @@
 	}
 	for id, order := range d.maintenance.pendingOrders {
 		m, ok := d.maintenance.machines[id]
-		if !ok || m.State == worker.MachineUp && requestedAt.Sub(order.since) > order.downtime+returnMargin {
+		returned := m.State == worker.MachineUp && requestedAt.Sub(order.since) > order.downtime+returnMargin
+		if order.confirmed && (!ok || returned) {
 			delete(d.maintenance.pendingOrders, id)
 		}
 	}
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -510,3 +510,26 @@
 	require.Eventually(t, func() bool { return c.state(second, "desk", fabric.JobID(1)) == fabric.JobFailed }, waitTimeout, pollInterval)
 	require.Equal(t, 2, c.StartCount(fabric.JobID(1)+".0.0.0"))
 }
+
+// TestSlowMachineOrder guards against tasks that are placed on a machine although an order to move it, which the
+// platform carries out late, may still end them.
+func TestSlowMachineOrder(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.PublishConfig(1, []string{"desk"}, "spare")
+	// One more than an idle pool keeps, so that one machine is moved to the spare pool.
+	const machines = 5
+	for range machines {
+		c.AddMachine("desk", cores16, false)
+	}
+	c.DelayMachineOrders(1200 * time.Millisecond)
+	e := c.start("entry-1")
+	require.Eventually(t, func() bool { return c.DelayedMachineOrders() > 0 }, waitTimeout, pollInterval, "no machine is moved")
+	for n := range machines {
+		c.submit(e, "desk", fabric.JobID(n), fabric.JobBody(cores16, 3000, 1))
+	}
+	for n := range machines {
+		c.awaitDone(e, "desk", fabric.JobID(n))
+		require.Equal(t, 1, c.StartCount(fabric.JobID(n)+".0.0.0"), "the move of a machine interrupted a task")
+	}
+}
--- a/standin/fabric/platform.go
+++ b/standin/fabric/platform.go
@@ -47,7 +47,11 @@
 	// doneTasks holds the tasks of which a run has completed.
 	doneTasks  map[string]bool
 	lastOrders map[string]machineOrder // the latest order by machine
-	quit       chan struct{}
+	// orderDelay is the time from the arrival of an order for a machine until it is carried out and confirmed.
+	orderDelay time.Duration
+	// delayedOrders is the number of orders for machines that have arrived and wait for orderDelay to pass.
+	delayedOrders int
+	quit          chan struct{}
 }
 
 // machineOrder records who sent an order for a machine, and when.
@@ -228,6 +232,20 @@
 	p.Store.Put("keyed.op", fmt.Sprintf("wave/%d", number), data)
 }
 
+// DelayMachineOrders lets orders for machines take effect d after they arrive.
+func (p *Platform) DelayMachineOrders(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.orderDelay = d
+}
+
+// DelayedMachineOrders returns the number of orders for machines that have arrived and not taken effect yet.
+func (p *Platform) DelayedMachineOrders() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.delayedOrders
+}
+
 // serveFleet lists the machines or carries out an order to move or maintain a machine. It refuses an order for a machine
 // that is unknown or offline.
 func (p *Platform) serveFleet(rw http.ResponseWriter, r *http.Request) {
@@ -245,6 +263,12 @@
 		return
 	}
 	p.mu.Lock()
+	delay := p.orderDelay
+	p.delayedOrders++
+	p.mu.Unlock()
+	time.Sleep(delay)
+	p.mu.Lock()
+	p.delayedOrders--
 	pool, ok := p.pools[body.Machine]
 	if !ok || p.offlineStates[body.Machine] != "" {
 		p.mu.Unlock()
