ledger, dispatch: log slow appends and late cycles of the owner

When the owner serves too little, append.repeat and the gaps between placements did not tell a slow store from an owner without processor time. append.slow has the bytes and records of an append, cycle.late splits the delay of a cycle into waiting for the lock, work, and waiting for the processor. No change of behaviour.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -30,6 +30,10 @@
 	// checkInterval is the maximum time between checks for expired leases, due occurrences and stops that
 	// were not confirmed.
 	checkInterval = 50 * time.Millisecond
+	// lateCycleThreshold is how late a cycle must begin to be logged, and lateCycleLogInterval is the minimum time
+	// between two such log lines.
+	lateCycleThreshold   = 50 * time.Millisecond
+	lateCycleLogInterval = 500 * time.Millisecond
 	// openRetryDelay is the pause before the ledger is opened again after a failure. It is also the time after
 	// which a caller may try again whose request was refused because the owner is starting or stopping or does
 	// not know the queue yet.
@@ -309,6 +313,7 @@
 func (d *Dispatcher) runCycles() {
 	ticker := d.clock.Every(checkInterval)
 	defer ticker.Stop()
+	var loggedAt time.Time
 	for {
 		select {
 		case <-d.ctx.Done():
@@ -316,13 +321,22 @@
 		case <-ticker.C():
 		case <-d.cycleRequests:
 		}
+		began := d.clock.Now()
 		d.mu.Lock()
+		locked := d.clock.Now()
 		d.checkTimeouts()
 		d.placeTasks()
 		d.writeDirtyJobs()
+		openJobs, runs := len(d.openJobs), len(d.runs)
 		d.mu.Unlock()
+		ended := d.clock.Now()
 		if d.clock.Sleep(d.ctx, minCycleInterval) != nil {
 			return
 		}
+		now := d.clock.Now()
+		if late := now.Sub(began) - minCycleInterval; late > lateCycleThreshold && now.Sub(loggedAt) > lateCycleLogInterval {
+			loggedAt = now
+			d.log.Info(eventCycleLate, "late", late, "lock", locked.Sub(began), "work", ended.Sub(locked), "timer", now.Sub(ended)-minCycleInterval, "open", openJobs, "runs", runs)
+		}
 	}
 }
--- a/ledger/error.go
+++ b/ledger/error.go
@@ -8,6 +8,7 @@
 )
 
 var (
+	eventAppendSlow        = event.Define(2604, "append.slow", "an append has taken long, with or without success")
 	eventAppendRetried     = event.Define(2600, "append.repeat", "an append failed; retrying")
 	eventMoved             = event.Define(2602, "ledger.moved", "the ledger has moved because its partition is unavailable")
 	eventMoveFailed        = event.Define(2603, "ledger.stays", "the ledger could not be moved to another partition")
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -37,6 +37,8 @@
 	// unavailable.
 	probeTimeout    = 250 * time.Millisecond
 	maxMoveAttempts = 2
+	// slowAppendTime is the duration from which an append is logged.
+	slowAppendTime = 200 * time.Millisecond
 	// maxAppendBytes is the size at which nothing more is added to an append, which may exceed it by the last write.
 	// The store accepts up to 2 MB.
 	maxAppendBytes = 1 << 20
@@ -117,6 +119,9 @@
 	p := platform.Producer{Name: producerName, Epoch: l.epoch, Sequence: l.sequence}
 	sent := l.clock.Now()
 	err := l.store.Append(callCtx, l.topic, l.partition, p, records)
+	if took := l.clock.Since(sent); took > slowAppendTime {
+		l.log.Info(eventAppendSlow, "part", l.partition, "records", len(records), "bytes", sizeOf(records), "took", took, "error", err)
+	}
 	if err == nil && l.partitionOwner != nil {
 		l.partitionOwner.RecordAppend(sent)
 	}
@@ -208,9 +213,7 @@
 	defer l.mu.Unlock()
 	size, n := 0, 0
 	for n < len(l.pending) && (n == 0 || size < maxAppendBytes) {
-		for _, r := range l.pending[n].records {
-			size += len(r.Key) + len(r.Value)
-		}
+		size += sizeOf(l.pending[n].records)
 		n++
 	}
 	batch := l.pending[:n:n]
@@ -276,6 +279,15 @@
 	return records
 }
 
+// sizeOf returns the number of bytes of the keys and values.
+func sizeOf(records []platform.Record) int {
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+	}
+	return size
+}
+
 // withdrawPending withdraws the optional writes that are queued behind the current append.
 func (l *Ledger) withdrawPending() {
 	l.mu.Lock()
