ledger, dispatch: bound the size of appends, write waiting changes once

Cause: all changes that waited were sent as one append of up to 1 MB. A busy owner sends 0.5 to 0.7 MB/s, so an append of more than 700 KB did not end within its timeout of 1.2 s, and was repeated as it was. The class of fault: a batch that grows with the backlog, against a fixed timeout. The backlog itself grew by superseded versions: each cycle of 20 ms encoded every changed job again while the earlier version waited.

Evidence (append.slow): 154 KB in 218 ms, 426 KB in 500 to 700 ms, 761 KB never in 9 s, although the store answered and leases were renewed.

Ruled out: an absent store (small appends and reads were answered), the processor alone (the append failed with hardly a task placed).

New jobs do not wait, since the ledger may have to withdraw them early.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -98,9 +98,11 @@
 	workers       map[worker.ID]*workerState
 	registrations map[worker.ID]worker.Registration
 	runs          map[runID]*run
-	dirtyJobs     []*job // jobs to write in the next cycle
-	maintenance   maintenance
-	arrivals      map[queue.Name]*arrivalStats
+	dirtyJobs     []*job // jobs to write
+	// changesPending is set while changes of stored jobs are being written.
+	changesPending bool
+	maintenance    maintenance
+	arrivals       map[queue.Name]*arrivalStats
 	// shortPoolLoggedAt is when each pool was last logged as lacking capacity.
 	shortPoolLoggedAt map[pool.Name]time.Time
 	adviceByStep      map[string]*advice
--- a/dispatch/persistence.go
+++ b/dispatch/persistence.go
@@ -21,6 +21,9 @@
 	progressKeyPrefix   = "run/"
 	// retentionMargin is added to StatusRetention before an ended job is deleted.
 	retentionMargin = 30 * time.Second
+	// maxWriteBytes is the size at which no further job is added to a write of changed jobs. The ledger does not split
+	// a write.
+	maxWriteBytes = 32 << 10
 	// maxDropsPerWrite limits the number of ended jobs that one write deletes.
 	maxDropsPerWrite = 200
 )
@@ -43,11 +46,43 @@
 	number      worker.EndNumber
 }
 
-// writeDirtyJobs writes all changed jobs to the ledger, and acknowledges run ends once they are stored.
+// writeDirtyJobs writes new jobs to the ledger and, unless earlier changes are still being written, all changes, and
+// acknowledges run ends once they are stored. Changes that wait are written together: a job that changes several times
+// during a slow append is written once.
 func (d *Dispatcher) writeDirtyJobs() {
 	if d.ledger == nil {
 		return
 	}
+	var changed []*job
+	for _, j := range d.dirtyJobs {
+		switch {
+		case j.withdrawn:
+			j.dirty = false
+			for _, callback := range takeWriteCallbacks([]*job{j}) {
+				callback(&ledger.NotStoredError{})
+			}
+		case !j.submissionQueued:
+			j.dirty = false
+			j.pendingWrites++
+			d.writeNewJob(j)
+		default:
+			changed = append(changed, j)
+		}
+	}
+	d.dirtyJobs = changed
+	if d.changesPending && !d.draining {
+		return
+	}
+	acks := d.takeEndAcks()
+	if len(changed) == 0 && len(acks) == 0 {
+		return
+	}
+	d.dirtyJobs = nil
+	d.writeChanges(changed, acks)
+}
+
+// takeEndAcks returns the run ends that were not passed to the ledger yet.
+func (d *Dispatcher) takeEndAcks() []endAck {
 	var acks []endAck
 	for _, s := range d.workers {
 		if s.reportedEnd > s.submittedEnd {
@@ -55,32 +90,42 @@
 			acks = append(acks, endAck{worker: s, incarnation: s.incarnation, number: s.reportedEnd})
 		}
 	}
-	if len(d.dirtyJobs) == 0 && len(acks) == 0 {
-		return
-	}
-	var records []platform.Record
-	var jobs []*job
-	for _, j := range d.dirtyJobs {
-		j.dirty = false
-		j.pendingWrites++
-		if !j.submissionQueued {
-			d.writeNewJob(j)
-			continue
+	return acks
+}
+
+// writeChanges writes the progress of jobs, and acknowledges the run ends once all of it is stored.
+func (d *Dispatcher) writeChanges(jobs []*job, acks []endAck) {
+	d.changesPending = true
+	for len(jobs) > 0 {
+		var records []platform.Record
+		n, size := 0, 0
+		for n < len(jobs) && size < maxWriteBytes {
+			j := jobs[n]
+			j.dirty = false
+			j.pendingWrites++
+			for _, r := range d.changedRecords(j) {
+				records = append(records, r)
+				size += len(r.Key) + len(r.Value)
+			}
+			n++
 		}
-		jobs = append(jobs, j)
-		records = append(records, d.changedRecords(j)...)
+		written := jobs[:n:n]
+		jobs = jobs[n:]
+		callbacks := takeWriteCallbacks(written)
+		d.ledger.Write(records, func(err error) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.handleWriteResult(written, callbacks, err)
+		})
 	}
-	d.dirtyJobs = d.dirtyJobs[:0]
-	callbacks := takeWriteCallbacks(jobs)
-	// If all ends concern unknown runs or ended jobs, there are no records. The callback is then called once all
-	// earlier writes are stored.
-	d.ledger.Write(records, func(err error) {
+	// A write without records is confirmed once all earlier writes are stored.
+	d.ledger.Write(nil, func(err error) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
-		d.handleWriteResult(jobs, callbacks, err)
 		if err != nil {
 			return
 		}
+		d.changesPending = false
 		for _, a := range acks {
 			d.markEndsStored(a)
 		}
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -27,6 +27,8 @@
 	fenced      bool
 	stored      []platform.Record
 	appends     int
+	// maxBytes is the largest append that the connection transfers before it times out; zero means no limit.
+	maxBytes int
 }
 
 func (s *store) Append(_ context.Context, _ platform.Topic, partition int, _ platform.Producer, records []platform.Record) error {
@@ -38,6 +40,13 @@
 	case !s.up || s.unavailable[partition]:
 		return &platform.StatusError{Call: "append", Status: http.StatusServiceUnavailable}
 	}
+	size := 0
+	for _, r := range records {
+		size += len(r.Key) + len(r.Value)
+	}
+	if s.maxBytes > 0 && size > s.maxBytes {
+		return &platform.CallError{Call: "append", Cause: context.DeadlineExceeded}
+	}
 	if s.byPartition == nil {
 		s.byPartition = map[int][]platform.Record{}
 	}
@@ -222,3 +231,25 @@
 	require.NoError(t, writeAndWait(t, l, true, platform.Record{Key: "b", Value: []byte("1")}))
 	s.update(func(s *store) { require.Equal(t, []platform.Record{{Key: "b", Value: []byte("1")}}, s.byPartition[0]) })
 }
+
+// TestBacklogNeverStored guards against a backlog that is sent as one append, which takes longer than the timeout of an
+// append each time that it is repeated. A busy owner sends half a megabyte in a second.
+func TestBacklogNeverStored(t *testing.T) {
+	s := &store{up: true, maxBytes: 500_000}
+	l, _ := openAndRun(t, s)
+	s.update(func(s *store) { s.up = false })
+	const writes, valueBytes = 1500, 1000
+	stored := make(chan error, writes)
+	for range writes {
+		l.Write([]platform.Record{{Key: "a", Value: make([]byte, valueBytes)}}, func(err error) { stored <- err })
+	}
+	s.update(func(s *store) { s.up = true })
+	for range writes {
+		select {
+		case err := <-stored:
+			require.NoError(t, err)
+		case <-time.After(waitTimeout):
+			require.Fail(t, "the backlog is not stored")
+		}
+	}
+}
