task: stored placements refer to the workers of their step by index

Cause: most of what is stored are placements, and each of them held worker, incarnation and machine, 101 bytes a task, while the tasks of a step share a few workers. The class of fault: state whose size grows with tasks times the size of a name.

Now a step lists its workers once. task TestRecordGrowsByTask: 101 bytes a task before, 40 at most after. Records of earlier versions are read as before (TestRestoreEarlierForm).

--- a/task/record.go
+++ b/task/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/failure"
@@ -59,20 +60,59 @@
 
 // taskRecord is the stored progress of a task that is not done.
 type taskRecord struct {
-	Index         int         `json:"task"`
-	FailedRuns    int         `json:"attempts,omitempty"`
-	Checkpoint    Checkpoint  `json:"saved,omitempty"`
+	Index      int        `json:"task"`
+	FailedRuns int        `json:"attempts,omitempty"`
+	Checkpoint Checkpoint `json:"saved,omitempty"`
+	// Runs lists the placements.
+	Runs []runRecord `json:"runs,omitempty"`
+	// Placements lists the placements in records of earlier versions.
 	Placements    []Placement `json:"places,omitempty"`
 	FailedWorkers []string    `json:"blamed,omitempty"`
 }
 
+// runRecord is the stored form of a placement: the index of the worker in stepRecord.Workers and the run number. The
+// tasks of a step usually share a few workers, and in a burst most of what is stored are placements.
+type runRecord [2]int64
+
+// workerRecord identifies an incarnation of a worker on which tasks of a step are placed.
+type workerRecord struct {
+	Worker      string `json:"worker"`
+	Incarnation int64  `json:"birth"`
+	Machine     string `json:"machine,omitempty"`
+}
+
 // stepRecord is the stored progress of a step.
 type stepRecord struct {
 	Step int `json:"step"`
 	// DoneBits has one bit for each task, which is set if the task is done. It is empty if none or all are done.
-	DoneBits []byte       `json:"done,omitempty"`
-	AllDone  bool         `json:"all,omitempty"`
-	Tasks    []taskRecord `json:"tasks,omitempty"`
+	DoneBits []byte `json:"done,omitempty"`
+	AllDone  bool   `json:"all,omitempty"`
+	// Workers are the workers to which the placements of Tasks refer.
+	Workers []workerRecord `json:"at,omitempty"`
+	Tasks   []taskRecord   `json:"tasks,omitempty"`
+}
+
+// toRunRecord returns the stored form of a placement and adds its worker to Workers if it is not there yet.
+func (r *stepRecord) toRunRecord(p Placement) runRecord {
+	w := workerRecord{Worker: p.Worker, Incarnation: p.Incarnation, Machine: p.Machine}
+	index := slices.Index(r.Workers, w)
+	if index < 0 {
+		index = len(r.Workers)
+		r.Workers = append(r.Workers, w)
+	}
+	return runRecord{int64(index), int64(p.Run)}
+}
+
+// placementsOf returns the placements of a task. It skips those whose worker is missing.
+func (r *stepRecord) placementsOf(t taskRecord) []Placement {
+	placements := t.Placements
+	for _, run := range t.Runs {
+		if index := run[0]; index >= 0 && index < int64(len(r.Workers)) {
+			w := r.Workers[index]
+			placements = append(placements, Placement{Worker: w.Worker, Incarnation: w.Incarnation, Machine: w.Machine, Run: RunNumber(run[1])})
+		}
+	}
+	return placements
 }
 
 // occurrenceRecord is the stored progress of an occurrence.
@@ -136,7 +176,11 @@
 		case t.Done && r.DoneBits != nil:
 			r.DoneBits[i/bitsPerByte] |= 1 << (i % bitsPerByte)
 		case !t.Done && (len(t.Placements) > 0 || t.FailedRuns > 0 || t.Checkpoint != ""):
-			r.Tasks = append(r.Tasks, taskRecord{Index: i, FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint, Placements: t.Placements, FailedWorkers: t.FailedWorkers})
+			record := taskRecord{Index: i, FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint, FailedWorkers: t.FailedWorkers}
+			for _, p := range t.Placements {
+				record.Runs = append(record.Runs, r.toRunRecord(p))
+			}
+			r.Tasks = append(r.Tasks, record)
 		}
 	}
 	return r, r.AllDone || r.DoneBits != nil || len(r.Tasks) > 0
@@ -193,7 +237,7 @@
 		if t == nil {
 			continue
 		}
-		t.FailedRuns, t.Checkpoint, t.Placements, t.FailedWorkers = r.FailedRuns, r.Checkpoint, r.Placements, r.FailedWorkers
+		t.FailedRuns, t.Checkpoint, t.Placements, t.FailedWorkers = r.FailedRuns, r.Checkpoint, s.placementsOf(r), r.FailedWorkers
 		for _, placement := range t.Placements {
 			t.LastRun = max(t.LastRun, placement.Run)
 		}
--- a/task/record_test.go
+++ b/task/record_test.go
@@ -30,7 +30,7 @@
 				case 0:
 					j.FinishTask(key, time.UnixMilli(2000))
 				case 1:
-					j.Task(key).Placements = []task.Placement{{Worker: "w", Incarnation: 5, Machine: "m", Run: task.RunNumber(1000 + n)}}
+					j.Task(key).Placements = []task.Placement{{Worker: rapid.SampledFrom([]string{"w", "x"}).Draw(t, "worker"), Incarnation: 5, Machine: "m", Run: task.RunNumber(1000 + n)}}
 				case 2:
 					j.Task(key).FailedRuns = 1
 					j.Task(key).Checkpoint = "x"
@@ -90,3 +90,29 @@
 		require.False(t, ok, text)
 	}
 }
+
+// TestRestoreEarlierForm guards against placements that are forgotten when they were stored by an earlier version, in
+// which each one had the whole identity of its worker.
+func TestRestoreEarlierForm(t *testing.T) {
+	j := task.New("00000000000000aa", "queue", "pool", task.Spec{Steps: []task.Step{{Count: 2}}}, time.UnixMilli(1000))
+	require.NoError(t, j.RestoreProgress([]byte(`{"begun":true,"passes":[{"pass":0,"steps":[{"step":0,"tasks":[{"task":1,"places":[{"worker":"w","birth":5,"machine":"m","run":7}]}]}]}]}`)))
+	restored := j.Task(task.Key{Job: j.ID, Task: 1})
+	require.Equal(t, []task.Placement{{Worker: "w", Incarnation: 5, Machine: "m", Run: 7}}, restored.Placements)
+	require.Equal(t, task.RunNumber(7), restored.LastRun)
+}
+
+// TestRecordGrowsByTask guards against records that repeat the identity of a worker for each task placed on it. In a
+// burst, the owner writes thousands of placements a second.
+func TestRecordGrowsByTask(t *testing.T) {
+	size := func(tasks int) int {
+		j := task.New("00000000000000aa", "queue", "pool", task.Spec{Steps: []task.Step{{Count: tasks}}}, time.UnixMilli(1000))
+		for n := range tasks {
+			j.Task(task.Key{Job: j.ID, Task: n}).Placements = []task.Placement{{Worker: "i-2e74d49a6e", Incarnation: 1_770_000_000_000, Machine: "m-21a7b", Run: 4001}}
+		}
+		data, err := j.EncodeProgress()
+		require.NoError(t, err)
+		return len(data)
+	}
+	const maxBytesPerTask = 40
+	require.LessOrEqual(t, (size(16)-size(8))/8, maxBytesPerTask)
+}
