cmd: let the heap grow by 200 percent between collections, limit it by the memory of the instance

The garbage collector ran each time that the heap had grown by half; the owner has a heap of some 40 MB and allocates for each call to a worker, each cycle and each append, so that at the peak of a burst it collected all the time. All else was late in consequence: placements, appends, renewals.

--- a/cmd/run.go
+++ b/cmd/run.go
@@ -15,13 +15,24 @@
 )
 
 const (
-	// memoryLimit is the memory limit of the Go runtime in bytes. When it is approached, the garbage collector
-	// runs more often. An entry has 284 MB of memory.
-	memoryLimit = 160 << 20
-	// gcPercent is the growth of the heap in percent that triggers the next garbage collection.
-	gcPercent = 50
+	// memoryLimitPercent is the share of the memory of the instance at which the garbage collector runs more often. The
+	// rest is for what the Go runtime does not count, such as bytes received and not yet read.
+	memoryLimitPercent = 60
+	// defaultMemoryLimit is the memory limit of the Go runtime in bytes if the settings do not name the memory.
+	defaultMemoryLimit = 160 << 20
+	// gcPercent is the growth of the heap in percent that triggers the next garbage collection. With 50, the collector
+	// took a large part of the owner's processor time in a burst.
+	gcPercent = 200
 )
 
+// memoryLimitOf returns the memory limit of the Go runtime in bytes for an instance with the given memory.
+func memoryLimitOf(memoryBytes int64) int64 {
+	if memoryBytes <= 0 {
+		return defaultMemoryLimit
+	}
+	return memoryBytes * memoryLimitPercent / 100
+}
+
 func newRun() *cobra.Command {
 	var level string
 	c := &cobra.Command{
@@ -30,12 +41,12 @@
 		Long:  "Run an entry with the settings that the platform provides, until SIGTERM or SIGINT; then finish the work in flight and exit. SIGHUP reads the settings again.",
 		Args:  cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			debug.SetMemoryLimit(memoryLimit)
-			debug.SetGCPercent(gcPercent)
 			s, err := platform.LoadSettings()
 			if err != nil {
 				return err
 			}
+			debug.SetMemoryLimit(memoryLimitOf(s.MemoryBytes))
+			debug.SetGCPercent(gcPercent)
 			lines := event.NewAsyncWriter(os.Stdout)
 			defer lines.Close()
 			hangup := make(chan os.Signal, 1)
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -18,8 +18,10 @@
 	// AdvisorAddress is empty if there is no advisor.
 	StoreAddress, FleetAddress, AdvisorAddress instance.Address
 	// Cores is the processor capacity that the process may use, in ordinary cores; it may be less than one.
-	Cores   float64
-	Timings Timings
+	Cores float64
+	// MemoryBytes is the memory that the process may use; zero if it is not known.
+	MemoryBytes int64
+	Timings     Timings
 }
 
 // Timings holds the time limits and durations that the platform specifies.
