dispatch, schedule: give up a task under which two workers have crashed, run suspects apart

Cause: the loss of a worker was never attributed to a task. A run that ended with its worker counted as neither success nor failure, so no limit applied, and the task was started elsewhere at once beside others. The class of fault: a retry without a budget for the one outcome that looks like somebody else's failure.

Now the crash of a worker (a newer incarnation, or another worker at its address, without an order and without a notice) counts for the tasks that ran there. The first crash leaves all of them as suspects. A suspect runs on a worker without another suspect, where possible without any other task, so that the next crash tells which task causes it; only suspects are blamed then. A task with two crashes is given up and its job fails. A long-running task that has worked for 5 s is not blamed and no longer suspected. The count is stored, so a later owner continues it; runs that were given up with the lease of a worker count when the worker turns out to have crashed.

process TestDeadlyTask fails before (the job is never given up) and passes after, with a change of the owner in between; schedule TestCrashSuspectsApart.

Ruled out: taking a refused connection for the end of a worker, which would be faster by 3 s; a partition may refuse too.

--- /dev/null
+++ b/dispatch/crash.go
@@ -0,0 +1,108 @@
+package dispatch
+
+import (
+	"time"
+
+	"hibiscuslane.example/hibiscuslane/task"
+	"hibiscuslane.example/hibiscuslane/worker"
+)
+
+const (
+	// maxCrashes is the number of workers that may crash under a task before its job fails. The first crash leaves all
+	// tasks of the worker as suspects; after that, a suspect is the only one on its worker.
+	maxCrashes = 2
+	// crashProbation is how long a long-running task must be at full speed before it no longer counts as the possible
+	// cause of a crash.
+	crashProbation = 5 * time.Second
+)
+
+// lostRuns are runs that were given up when the lease of their worker expired. If the worker turns out to have
+// crashed, they may be the cause.
+type lostRuns struct {
+	incarnation worker.Incarnation
+	runs        []*run
+}
+
+// recordLostRuns remembers the runs of a worker whose lease has expired.
+func (d *Dispatcher) recordLostRuns(s *workerState) {
+	lost := lostRuns{incarnation: s.incarnation}
+	for _, r := range s.runs {
+		if r.phase != phasePlanned {
+			lost.runs = append(lost.runs, r)
+		}
+	}
+	if d.lostRuns == nil {
+		d.lostRuns = map[worker.MachineID]lostRuns{}
+	}
+	d.lostRuns[s.registration.Machine] = lost
+}
+
+// takeLostRuns returns and forgets the runs that were lost on a machine with an incarnation before the given one.
+func (d *Dispatcher) takeLostRuns(machine worker.MachineID, before worker.Incarnation) []*run {
+	lost, ok := d.lostRuns[machine]
+	if !ok || before != 0 && lost.incarnation >= before {
+		return nil
+	}
+	delete(d.lostRuns, machine)
+	return lost.runs
+}
+
+// recordCrash counts the crash of a worker for the tasks that may have caused it: those under which another worker has
+// crashed before or, if there are none, all. A job fails once maxCrashes workers have crashed under one of its tasks.
+// It is called before the runs are ended.
+func (d *Dispatcher) recordCrash(machine worker.MachineID, runs []*run, now time.Time) {
+	if d.maintenance.hasPendingOrder(machine) || d.isReservedByEarlierOwner(machine, now) {
+		return // an order may have ended the worker
+	}
+	suspects := map[*task.Task]*run{}
+	for _, r := range runs {
+		if r.phase != phasePlanned && r.job.Outcome == "" && !r.task().Done && !r.isTrusted(now) {
+			suspects[r.task()] = r
+		}
+	}
+	known := map[*task.Task]*run{}
+	for t, r := range suspects {
+		if t.Crashes > 0 {
+			known[t] = r
+		}
+	}
+	if len(known) > 0 {
+		suspects = known
+	}
+	for t, r := range suspects {
+		t.Crashes++
+		d.log.Info(eventCrashRecorded, "task", r.id.key.String(), "run", r.id.number, "worker", r.workerID, "machine", machine, "crashes", t.Crashes, "suspects", len(suspects))
+		d.markDirty(r.job)
+		if t.Crashes >= maxCrashes && r.job.Outcome == "" {
+			d.finishJob(r.job, task.StateFailed, now)
+			d.saveAndCloseIfEnded(r.job)
+		}
+	}
+}
+
+// isTrusted reports whether a run has worked for long enough that it is not taken for the cause of a crash.
+func (r *run) isTrusted(now time.Time) bool {
+	return r.step.LongRunning && !r.fullSpeedSince.IsZero() && now.Sub(r.fullSpeedSince) > crashProbation
+}
+
+// clearCrashes ends the suspicion against the task of a run that has worked for long enough.
+func (d *Dispatcher) clearCrashes(r *run, now time.Time) {
+	if t := r.task(); t.Crashes > 0 && r.isTrusted(now) {
+		t.Crashes = 0
+		d.markDirty(r.job)
+	}
+}
+
+// runList returns the runs of a worker.
+func (s *workerState) runList() []*run {
+	runs := make([]*run, 0, len(s.runs))
+	for _, r := range s.runs {
+		runs = append(runs, r)
+	}
+	return runs
+}
+
+// isLeaving reports whether the worker has announced that it will end, or an order has ended it.
+func (s *workerState) isLeaving() bool {
+	return s.endedByOrder || s.registration.State == worker.StateDraining
+}
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -98,7 +98,9 @@
 	workers       map[worker.ID]*workerState
 	registrations map[worker.ID]worker.Registration
 	runs          map[runID]*run
-	dirtyJobs     []*job // jobs to write
+	// lostRuns holds the runs that were lost with the lease of their worker, by machine.
+	lostRuns  map[worker.MachineID]lostRuns
+	dirtyJobs []*job // jobs to write
 	// changesPending is set while changes of stored jobs are being written.
 	changesPending bool
 	maintenance    maintenance
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -81,6 +81,12 @@
 			continue
 		}
 		pending.Tasks = append(pending.Tasks, i)
+		if t.Crashes > 0 {
+			if pending.CrashSuspects == nil {
+				pending.CrashSuspects = map[int]bool{}
+			}
+			pending.CrashSuspects[i] = true
+		}
 		if len(t.FailedWorkers) > 0 {
 			if pending.FailedWorkers == nil {
 				pending.FailedWorkers = map[int][]string{}
@@ -159,7 +165,11 @@
 			ID: s.id, Rack: s.rack, Labels: s.registration.Labels, Capacity: s.registration.Capacity,
 			Free: s.registration.Capacity.Sub(s.reserved), Draining: s.drainingForMaintenance, MaintenanceDue: d.maintenance.isMaintenanceDue(s.registration.Machine), Suspect: now.Before(s.suspectUntil),
 		}
+		w.Tasks = len(s.runs)
 		for _, r := range s.runs {
+			if r.task().Crashes > 0 {
+				w.CrashSuspects++
+			}
 			if r.step.LatencyTarget > 0 {
 				w.LatencySensitiveTasks++
 			}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -182,6 +182,7 @@
 	if reported.SpeedPercent < 100 {
 		r.fullSpeedSince = time.Time{}
 	}
+	d.clearCrashes(r, now)
 	if r.job.Outcome != "" && r.phase == phaseRunning || r.task().Done {
 		d.stopRun(r, now)
 	}
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -272,6 +272,9 @@
 		d.log.Info(eventWorkerRecovered, "worker", s.id, "silent", now.Sub(s.unreachableSince))
 	}
 	s.unreachableSince = time.Time{}
+	if lost, ok := d.lostRuns[s.registration.Machine]; ok && lost.incarnation == report.Incarnation {
+		delete(d.lostRuns, s.registration.Machine) // it was only unreachable
+	}
 	hasNewEnds := d.applyReport(s, report, sent, now)
 	if s.hasUnresolvedRuns() {
 		return 2 * minRenewalPause
@@ -380,6 +383,9 @@
 // that were not answered may still reach the new one.
 func (d *Dispatcher) handleRestart(s *workerState, incarnation worker.Incarnation) {
 	d.log.Info(eventWorkerRestarted, "worker", s.id, "birth", s.incarnation, "next", incarnation, "runs", len(s.runs))
+	if lost := d.takeLostRuns(s.registration.Machine, incarnation); !s.isLeaving() {
+		d.recordCrash(s.registration.Machine, append(lost, s.runList()...), d.clock.Now())
+	}
 	s.incarnation = incarnation
 	s.tokenAcknowledged = false
 	s.lease = worker.Lease{}
@@ -404,6 +410,9 @@
 	if len(s.runs) > 0 {
 		d.log.Info(eventIncarnationEnded, "worker", s.id, "machine", s.registration.Machine, "runs", len(s.runs))
 	}
+	if lost := d.takeLostRuns(s.registration.Machine, 0); !s.isLeaving() {
+		d.recordCrash(s.registration.Machine, append(lost, s.runList()...), now)
+	}
 	for _, r := range s.runs {
 		d.endLostRun(r, worker.CauseLeaseExpired, now)
 	}
@@ -416,15 +425,25 @@
 		return
 	}
 	now := d.clock.Now()
+	ended := d.takeLostRuns(registration.Machine, registration.Incarnation)
+	leaving := false
 	for _, r := range d.runs {
 		if r.machine == registration.Machine && r.workerID != registration.ID && r.incarnation < registration.Incarnation {
-			d.endLostRun(r, worker.CauseLeaseExpired, now)
+			ended = append(ended, r)
+			leaving = leaving || r.worker != nil && r.worker.isLeaving()
 		}
 	}
+	if !leaving {
+		d.recordCrash(registration.Machine, ended, now)
+	}
+	for _, r := range ended {
+		d.endLostRun(r, worker.CauseLeaseExpired, now)
+	}
 }
 
 // expireLease ends the runs of a worker whose lease has certainly expired.
 func (d *Dispatcher) expireLease(s *workerState, now time.Time) {
+	d.recordLostRuns(s)
 	for _, r := range s.runs {
 		if r.phase != phasePlanned {
 			d.endLostRun(r, worker.CauseLeaseExpired, now)
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -533,3 +533,27 @@
 		require.Equal(t, 1, c.StartCount(fabric.JobID(n)+".0.0.0"), "the move of a machine interrupted a task")
 	}
 }
+
+// TestDeadlyTask guards against a task that crashes one worker after another, each time with all other tasks there, and
+// against other tasks that are given up because they ran beside it.
+func TestDeadlyTask(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.PublishConfig(1, []string{"desk"}, "")
+	for range 6 {
+		c.AddMachine("desk", cores16, false)
+	}
+	first, second := c.start("entry-1"), c.start("entry-2")
+	for n := range 6 {
+		c.submit(second, "desk", fabric.JobID(n), fabric.JobBody(4000, 1500, 2))
+	}
+	deadly := fabric.JobID(100)
+	c.submit(second, "desk", deadly, `{"spec":"2000 500 crashes","steps":[{"count":1,"cpu":2000,"mem_mb":100,"estimate_ms":500}]}`)
+	require.Eventually(t, func() bool { return c.StartCount(deadly+".0.0.0") > 0 }, waitTimeout, pollInterval)
+	first.stop() // a later owner must know of the crashes before its term
+	require.Eventually(t, func() bool { return c.state(second, "desk", deadly) == fabric.JobFailed }, waitTimeout, pollInterval, "the deadly job is not given up")
+	require.LessOrEqual(t, c.StartCount(deadly+".0.0.0"), 3)
+	for n := range 6 {
+		c.awaitDone(second, "desk", fabric.JobID(n))
+	}
+}
--- a/schedule/plan_test.go
+++ b/schedule/plan_test.go
@@ -55,3 +55,28 @@
 		}
 	})
 }
+
+// TestCrashSuspectsApart guards against two tasks on one worker that may both be the cause of a crash, against other
+// tasks beside such a task although there are free workers, and against tasks that wait behind one.
+func TestCrashSuspectsApart(t *testing.T) {
+	newWorker := func(id worker.ID) *schedule.Worker {
+		capacity := task.Resources{CPU: 16000, Memory: 1000}
+		return &schedule.Worker{ID: id, Capacity: capacity, Free: capacity}
+	}
+	workers := []*schedule.Worker{newWorker("a"), newWorker("b"), newWorker("c")}
+	pending := &schedule.PendingStep{Job: "j", Spec: task.Step{Count: 5, Resources: task.Resources{CPU: 1000}}, Tasks: []int{0, 1, 2, 3, 4}, CrashSuspects: map[int]bool{0: true, 1: true}}
+	placed := map[int]worker.ID{}
+	for _, a := range schedule.Plan(time.UnixMilli(0), workers, []*schedule.PendingStep{pending}) {
+		placed[a.Task] = a.Worker
+	}
+	require.Len(t, placed, 5)
+	require.NotEqual(t, placed[0], placed[1])
+	for n := 2; n < 5; n++ {
+		require.NotContains(t, []worker.ID{placed[0], placed[1]}, placed[n], "task %d", n)
+	}
+	workers = workers[:1]
+	workers[0].CrashSuspects = 1
+	assignments := schedule.Plan(time.UnixMilli(0), workers, []*schedule.PendingStep{{Job: "k", Spec: pending.Spec, Tasks: []int{0, 1}, CrashSuspects: map[int]bool{0: true}}})
+	require.Len(t, assignments, 1)
+	require.Equal(t, 1, assignments[0].Task)
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -33,6 +33,8 @@
 	MaintenanceDue bool
 	// Suspect is set if tasks or orders have recently failed on the worker. Other workers are preferred.
 	Suspect bool
+	// Tasks is the number of its tasks, and CrashSuspects the number of those that a worker has crashed under.
+	Tasks, CrashSuspects int
 }
 
 // PendingStep holds the waiting tasks of one step in one occurrence of a job.
@@ -44,6 +46,9 @@
 	Tasks []int
 	// FailedWorkers holds the workers on which each task has failed, by the index of the task.
 	FailedWorkers map[int][]string
+	// CrashSuspects holds the waiting tasks under which a worker has crashed. At most one such task is placed on a
+	// worker, so that another crash tells which task causes it.
+	CrashSuspects map[int]bool
 	// TasksPerWorker is the number of tasks of the step that are placed on each worker.
 	TasksPerWorker map[worker.ID]int
 	// TasksPerRack is the number of tasks of the step that are placed on each rack.
@@ -166,23 +171,30 @@
 }
 
 // placeTasks assigns the waiting tasks of a step until no worker can take one. Its tasks need the same resources, so
-// that none of the others can start either.
+// that none of the others can start either, unless it is a crash suspect.
 func placeTasks(p *PendingStep, workers []*Worker) []Assignment {
 	var assignments []Assignment
 	for _, index := range p.Tasks {
 		w := chooseWorker(p, index, workers)
+		if w == nil && p.CrashSuspects[index] {
+			continue
+		}
 		if w == nil {
 			break
 		}
-		reserve(p, w)
+		reserve(p, index, w)
 		assignments = append(assignments, Assignment{Pending: p, Task: index, Worker: w.ID})
 	}
 	return assignments
 }
 
 // reserve updates a worker and a step for a task of the step that is placed on the worker.
-func reserve(p *PendingStep, w *Worker) {
+func reserve(p *PendingStep, index int, w *Worker) {
 	w.Free = w.Free.Sub(p.Spec.Reservation())
+	w.Tasks++
+	if p.CrashSuspects[index] {
+		w.CrashSuspects++
+	}
 	if p.Spec.BestEffort {
 		w.BestEffortTasks++
 	}
@@ -199,8 +211,12 @@
 	p.TasksPerRack[w.Rack]++
 }
 
-// canStart reports whether a task of the step may start on a worker.
-func canStart(p *PendingStep, w *Worker) bool {
+// canStart reports whether a task of the step may start on a worker. The tasks of a gang have to run together, also if
+// they are crash suspects.
+func canStart(p *PendingStep, index int, w *Worker) bool {
+	if p.CrashSuspects[index] && w.CrashSuspects > 0 && !p.Spec.Gang {
+		return false
+	}
 	if !w.Free.CanFit(p.Spec.Reservation()) || w.Draining && p.Spec.LongRunning {
 		return false
 	}
@@ -222,7 +238,7 @@
 	var best *Worker
 	var lowestCost float64
 	for _, w := range workers {
-		if !canStart(p, w) {
+		if !canStart(p, index, w) {
 			continue
 		}
 		c := cost(p, index, w)
@@ -238,6 +254,7 @@
 const (
 	weightTaskFailed     = 1e6 // the task has failed on the worker
 	weightSuspect        = 1e5 // tasks or orders have recently failed on the worker
+	weightCrash          = 2e4 // per task that would end with the worker, for a crash suspect or beside one
 	weightDraining       = 1e4 // the machine is being drained
 	weightRemoteRack     = 1e3 // the data, or the rest of the tasks, are on another rack
 	weightInterference   = 1e2 // per pair of best-effort and latency-sensitive tasks on one worker
@@ -256,6 +273,11 @@
 	if w.Suspect {
 		c += weightSuspect
 	}
+	if p.CrashSuspects[index] {
+		c += weightCrash * float64(w.Tasks)
+	} else if w.CrashSuspects > 0 {
+		c += weightCrash
+	}
 	if w.Draining {
 		c += weightDraining
 	}
@@ -337,7 +359,7 @@
 			p.TasksPerWorker, p.TasksPerRack = tasksPerWorker, tasksPerRack
 			return nil
 		}
-		reserve(p, w)
+		reserve(p, index, w)
 		assignments = append(assignments, Assignment{Pending: p, Task: index, Worker: w.ID})
 	}
 	return assignments
--- a/standin/fabric/worker.go
+++ b/standin/fabric/worker.go
@@ -42,6 +42,13 @@
 	stopDelay time.Duration
 }
 
+const (
+	// deadlySuffix ends the specification of a job whose tasks crash each worker that starts them.
+	deadlySuffix = " crashes"
+	// crashDowntime is how long a worker is down after such a crash.
+	crashDowntime = 200 * time.Millisecond
+)
+
 type run struct {
 	task   string
 	number int64
@@ -189,6 +196,9 @@
 	}
 	w.leaseEnd = max(w.leaseEnd, body.DeadlineMS)
 	cpu, duration, fails := w.platform.recordStart(w, body.Task, body.Spec)
+	if strings.HasSuffix(body.Spec, deadlySuffix) {
+		go w.platform.CrashWorker(w.Machine, crashDowntime)
+	}
 	started := &run{task: body.Task, number: body.Run, cpu: cpu}
 	w.runs[body.Task] = started
 	if used := w.usedCPU(); used > w.CPU {
--- a/task/job.go
+++ b/task/job.go
@@ -37,6 +37,8 @@
 	Done bool
 	// FailedRuns counts the runs that have failed.
 	FailedRuns int
+	// Crashes counts the workers that have crashed under the task, for which it may be the cause.
+	Crashes int
 	// LastRun is the highest run number that was ordered.
 	LastRun    RunNumber
 	Checkpoint Checkpoint
--- a/task/record.go
+++ b/task/record.go
@@ -62,6 +62,7 @@
 type taskRecord struct {
 	Index      int        `json:"task"`
 	FailedRuns int        `json:"attempts,omitempty"`
+	Crashes    int        `json:"crashes,omitempty"`
 	Checkpoint Checkpoint `json:"saved,omitempty"`
 	// Runs lists the placements.
 	Runs []runRecord `json:"runs,omitempty"`
@@ -175,8 +176,8 @@
 		switch {
 		case t.Done && r.DoneBits != nil:
 			r.DoneBits[i/bitsPerByte] |= 1 << (i % bitsPerByte)
-		case !t.Done && (len(t.Placements) > 0 || t.FailedRuns > 0 || t.Checkpoint != ""):
-			record := taskRecord{Index: i, FailedRuns: t.FailedRuns, Checkpoint: t.Checkpoint, FailedWorkers: t.FailedWorkers}
+		case !t.Done && (len(t.Placements) > 0 || t.FailedRuns > 0 || t.Crashes > 0 || t.Checkpoint != ""):
+			record := taskRecord{Index: i, FailedRuns: t.FailedRuns, Crashes: t.Crashes, Checkpoint: t.Checkpoint, FailedWorkers: t.FailedWorkers}
 			for _, p := range t.Placements {
 				record.Runs = append(record.Runs, r.toRunRecord(p))
 			}
@@ -237,7 +238,7 @@
 		if t == nil {
 			continue
 		}
-		t.FailedRuns, t.Checkpoint, t.Placements, t.FailedWorkers = r.FailedRuns, r.Checkpoint, s.placementsOf(r), r.FailedWorkers
+		t.FailedRuns, t.Crashes, t.Checkpoint, t.Placements, t.FailedWorkers = r.FailedRuns, r.Crashes, r.Checkpoint, s.placementsOf(r), r.FailedWorkers
 		for _, placement := range t.Placements {
 			t.LastRun = max(t.LastRun, placement.Run)
 		}
--- a/task/record_test.go
+++ b/task/record_test.go
@@ -33,6 +33,7 @@
 					j.Task(key).Placements = []task.Placement{{Worker: rapid.SampledFrom([]string{"w", "x"}).Draw(t, "worker"), Incarnation: 5, Machine: "m", Run: task.RunNumber(1000 + n)}}
 				case 2:
 					j.Task(key).FailedRuns = 1
+					j.Task(key).Crashes = 1
 					j.Task(key).Checkpoint = "x"
 					j.Task(key).FailedWorkers = []string{"w"}
 				}
@@ -70,6 +71,7 @@
 					if !want.Done {
 						require.Equal(t, want.Placements, got.Placements)
 						require.Equal(t, want.FailedRuns, got.FailedRuns)
+						require.Equal(t, want.Crashes, got.Crashes)
 						require.Equal(t, want.Checkpoint, got.Checkpoint)
 					}
 				}
