--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -88,6 +88,10 @@
 	drainingForMaintenance bool
 }
 
+// isOverCapacity reports whether the runs on the worker need more than it has. Its capacity may shrink after they were
+// placed.
+func (s *workerState) isOverCapacity() bool { return !s.registration.Capacity.CanFit(s.reserved) }
+
 // requestRenewal triggers a renewal without delay.
 func (s *workerState) requestRenewal() {
 	select {
--- a/standin/fabric/worker.go
+++ b/standin/fabric/worker.go
@@ -94,6 +94,14 @@
 	w.unresponsive = unresponsive
 }
 
+// SetCapacity changes the capacity of the worker, in thousandths of a core, and its registration.
+func (w *Worker) SetCapacity(cpu int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.CPU = cpu
+	w.platform.Store.Put("keyed.servers", w.ID, w.registration())
+}
+
 // DelayStarts leaves the next n starts without a response and lets them take effect after d.
 func (w *Worker) DelayStarts(n int, d time.Duration) {
 	w.mu.Lock()
