--- a/process/cluster_test.go
+++ b/process/cluster_test.go
@@ -15,6 +15,7 @@
 
 	"hibiscuslane.example/hibiscuslane/event"
 	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/ledger"
 	"hibiscuslane.example/hibiscuslane/process"
 	"hibiscuslane.example/hibiscuslane/settings"
 	"hibiscuslane.example/hibiscuslane/standin/fabric"
@@ -177,3 +178,32 @@
 	c.t.Helper()
 	require.Eventually(c.t, func() bool { return c.state(e, pool, id) == fabric.JobCompleted }, waitTimeout, pollInterval, "job %s is not done", id)
 }
+
+// placeWhileStoreIsAway starts an entry and a worker, and submits a job whose task is placed on the worker while the
+// store does not take its placement.
+func (c *cluster) placeWhileStoreIsAway() (e *entry, worker *fabric.Worker, job string) {
+	c.t.Helper()
+	c.PublishConfig(1, []string{"desk"}, "")
+	c.AddMachine("desk", cores16, false)
+	e = c.start("entry-1")
+	first, job := fabric.JobID(1), fabric.JobID(2)
+	c.submit(e, "desk", first, fabric.JobBody(cores16, 1000, 1))
+	require.Eventually(c.t, func() bool { return c.StartCount(first+".0.0.0") == 1 }, waitTimeout, pollInterval)
+	c.submit(e, "desk", job, fabric.JobBody(cores16, 100, 1))
+	var partitions []string
+	for n := range ledger.Partitions {
+		partitions = append(partitions, fmt.Sprintf("%s/%d", ledger.TopicJobs, n))
+	}
+	c.Store.SetFaults(fabric.Faults{UnavailablePartitions: partitions})
+	require.Eventually(c.t, func() bool { return c.RunningTasks()[first+".0.0.0"] == "" }, waitTimeout, pollInterval)
+	time.Sleep(300 * time.Millisecond) // the task is placed within this time, and a longer pause has the same effect
+	return e, c.Workers()[0], job
+}
+
+// endOutage ends the outage of placeWhileStoreIsAway. It waits before and after for as long as an entry needs to read a
+// registration and to send a start; longer pauses have the same effect.
+func (c *cluster) endOutage() {
+	time.Sleep(500 * time.Millisecond)
+	c.Store.SetFaults(fabric.Faults{})
+	time.Sleep(500 * time.Millisecond)
+}
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"os"
 	"strings"
@@ -14,7 +13,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"hibiscuslane.example/hibiscuslane/ledger"
 	"hibiscuslane.example/hibiscuslane/settings"
 	"hibiscuslane.example/hibiscuslane/standin/fabric"
 )
@@ -565,26 +563,23 @@
 func TestShrunkCapacity(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t)
-	c.PublishConfig(1, []string{"desk"}, "")
-	c.AddMachine("desk", cores16, false)
-	e := c.start("entry-1")
-	first, second := fabric.JobID(1), fabric.JobID(2)
-	c.submit(e, "desk", first, fabric.JobBody(cores16, 1000, 1))
-	require.Eventually(t, func() bool { return c.StartCount(first+".0.0.0") == 1 }, waitTimeout, pollInterval)
-	c.submit(e, "desk", second, fabric.JobBody(cores16, 100, 1))
-	var partitions []string
-	for n := range ledger.Partitions {
-		partitions = append(partitions, fmt.Sprintf("%s/%d", ledger.TopicJobs, n))
-	}
-	c.Store.SetFaults(fabric.Faults{UnavailablePartitions: partitions})
-	worker := c.Workers()[0]
-	require.Eventually(t, func() bool { return c.RunningTasks()[first+".0.0.0"] == "" }, waitTimeout, pollInterval)
-	time.Sleep(300 * time.Millisecond) // the second task is placed within this time, and a longer pause has the same effect
+	e, worker, id := c.placeWhileStoreIsAway()
 	worker.SetCapacity(cores16 / 2)
-	time.Sleep(500 * time.Millisecond) // the owner reads the registration within this time, and a longer pause has the same effect
-	c.Store.SetFaults(fabric.Faults{})
-	time.Sleep(500 * time.Millisecond) // the start would be sent within this time
-	require.Zero(t, c.StartCount(second+".0.0.0"))
+	c.endOutage()
+	require.Zero(t, c.StartCount(id+".0.0.0"))
 	worker.SetCapacity(cores16)
-	c.awaitDone(e, "desk", second)
+	c.awaitDone(e, "desk", id)
+}
+
+// TestDrainingSincePlaced guards against a task that is started on a worker which has announced its end since the task was
+// placed there, while its placement was being stored.
+func TestDrainingSincePlaced(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	e, worker, id := c.placeWhileStoreIsAway()
+	worker.Drain()
+	c.endOutage()
+	require.Zero(t, c.StartCount(id+".0.0.0"))
+	c.AddMachine("desk", cores16, false)
+	c.awaitDone(e, "desk", id)
 }
--- a/standin/fabric/worker.go
+++ b/standin/fabric/worker.go
@@ -38,6 +38,7 @@
 	// delayedStarts is the number of upcoming starts that get no response and take effect after startDelay.
 	delayedStarts int
 	startDelay    time.Duration
+	draining      bool
 	// stopDelay is the time from a call to stop a run until the run ends.
 	stopDelay time.Duration
 }
@@ -74,9 +75,13 @@
 
 // registration returns the record with which the worker registers in the store.
 func (w *Worker) registration() []byte {
-	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"z1","version":"v1","slots":8,"state":"ready","cold_remaining_ms":0,`+
+	state := "ready"
+	if w.draining {
+		state = "draining"
+	}
+	return fmt.Appendf(nil, `{"service":%q,"address":%q,"zone":"z1","version":"v1","slots":8,"state":%q,"cold_remaining_ms":0,`+
 		`"capacity":{"cpu":%d,"mem_mb":65536,"gpu":0},"labels":["a","r1-1"],"machine":%q,"born":%d,"sequence":1}`,
-		w.Pool, w.address, w.CPU, w.Machine, w.startedAt.UnixMilli())
+		w.Pool, w.address, state, w.CPU, w.Machine, w.startedAt.UnixMilli())
 }
 
 // RemainingLease returns the time until the lease of the worker expires, on the worker's clock. It is negative after
@@ -94,6 +99,14 @@
 	w.unresponsive = unresponsive
 }
 
+// Drain announces in the registration of the worker that it is about to end.
+func (w *Worker) Drain() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.draining = true
+	w.platform.Store.Put("keyed.servers", w.ID, w.registration())
+}
+
 // SetCapacity changes the capacity of the worker, in thousandths of a core, and its registration.
 func (w *Worker) SetCapacity(cpu int) {
 	w.mu.Lock()
