dispatch: blame a crash on all tasks that were certainly running, give up after two crashes alone or three

Causes: (1) while many deadly tasks are under way and the pool is full, a new one runs beside a suspect, and only the suspect was blamed: the innocent suspect was given up, and the new one was not counted (its first crash was counted for the fifth worker). (2) A start that was sent after the crash counted as if the task had run.

Now a crash counts for each task whose start was confirmed. A task is given up if it was the only one to blame for its second crash, or at its third.

dispatch TestCrashBlame fails before and passes after.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -8,9 +8,10 @@
 )
 
 const (
-	// maxCrashes is the number of workers that may crash under a task before its job fails. The first crash leaves all
-	// tasks of the worker as suspects; after that, a suspect is the only one on its worker.
-	maxCrashes = 2
+	// maxLoneCrashes is the number of workers that may crash under a task before its job fails, if the last of them ran
+	// nothing else that may be the cause. maxCrashes is the number whatever else ran there.
+	maxLoneCrashes = 2
+	maxCrashes     = 3
 	// crashProbation is how long a long-running task must be at full speed before it no longer counts as the possible
 	// cause of a crash.
 	crashProbation = 5 * time.Second
@@ -47,33 +48,26 @@
 	return lost.runs
 }
 
-// recordCrash counts the crash of a worker for the tasks that may have caused it: those under which another worker has
-// crashed before or, if there are none, all. A job fails once maxCrashes workers have crashed under one of its tasks.
-// It is called before the runs are ended.
+// recordCrash counts the crash of a worker for all tasks that ran there and may be the cause. The job of a task under which
+// several workers have crashed fails. It is called before the runs are ended.
 func (d *Dispatcher) recordCrash(machine worker.MachineID, runs []*run, now time.Time) {
 	if d.maintenance.hasPendingOrder(machine) || d.isReservedByEarlierOwner(machine, now) {
 		return // an order may have ended the worker
 	}
-	suspects := map[*task.Task]*run{}
+	var suspects []*run
 	for _, r := range runs {
-		if r.phase != phasePlanned && r.job.Outcome == "" && !r.task().Done && !r.isTrusted(now) {
-			suspects[r.task()] = r
+		// A start that is not confirmed may have arrived after the crash.
+		if !r.startConfirmedAt.IsZero() && r.job.Outcome == "" && !r.task().Done && !r.isTrusted(now) {
+			suspects = append(suspects, r)
 		}
 	}
-	known := map[*task.Task]*run{}
-	for t, r := range suspects {
-		if t.Crashes > 0 {
-			known[t] = r
-		}
-	}
-	if len(known) > 0 {
-		suspects = known
-	}
-	for t, r := range suspects {
+	for _, r := range suspects {
+		t := r.task()
 		t.Crashes++
 		d.log.Info(eventCrashRecorded, "task", r.id.key.String(), "run", r.id.number, "worker", r.workerID, "machine", machine, "crashes", t.Crashes, "suspects", len(suspects))
 		d.markDirty(r.job)
-		if t.Crashes >= maxCrashes && r.job.Outcome == "" {
+		isLoneCause := len(suspects) == 1 && t.Crashes >= maxLoneCrashes
+		if r.job.Outcome == "" && (isLoneCause || t.Crashes >= maxCrashes) {
 			d.finishJob(r.job, task.StateFailed, now)
 			d.saveAndCloseIfEnded(r.job)
 		}
--- /dev/null
+++ b/dispatch/crash_test.go
@@ -0,0 +1,36 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/election"
+	"hibiscuslane.example/hibiscuslane/task"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+// TestCrashBlame guards against a crash that is blamed on a task which had crashed a worker before although another task
+// on the worker caused it, against a task that escapes the blame for the same reason, and against blame for a start
+// that was not confirmed.
+func TestCrashBlame(t *testing.T) {
+	d := New(t.Context(), election.Gained{Epoch: 1}, Options{Clock: &timer.Service{}})
+	now := d.clock.Now()
+	newRun := func(crashes int, startConfirmedAt time.Time) *run {
+		j := &job{Job: task.New("00000000000000aa", "queue", "pool", task.Spec{Steps: []task.Step{{Count: 1}}}, now)}
+		r := &run{id: runID{key: task.Key{Job: j.ID}}, job: j, step: &j.Spec.Steps[0], phase: phaseRunning, startConfirmedAt: startConfirmedAt}
+		r.task().Crashes = crashes
+		return r
+	}
+	suspect, other, unconfirmed := newRun(1, now), newRun(0, now), newRun(0, time.Time{})
+	d.recordCrash("m", []*run{suspect, other, unconfirmed}, now)
+	require.Equal(t, 2, suspect.task().Crashes)
+	require.Equal(t, 1, other.task().Crashes)
+	require.Zero(t, unconfirmed.task().Crashes)
+	require.Empty(t, suspect.job.Outcome, "the other task may have caused the crash")
+	d.recordCrash("m", []*run{other, unconfirmed}, now)
+	require.Equal(t, task.StateFailed, other.job.Outcome, "no other task can have caused the second crash")
+	d.recordCrash("m", []*run{suspect, newRun(0, now)}, now)
+	require.Equal(t, task.StateFailed, suspect.job.Outcome, "a third crash is not risked again")
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -273,11 +273,7 @@
 	if w.Suspect {
 		c += weightSuspect
 	}
-	if p.CrashSuspects[index] {
-		c += weightCrash * float64(w.Tasks)
-	} else if w.CrashSuspects > 0 {
-		c += weightCrash
-	}
+	c += weightCrash * tasksAtRisk(p, index, w)
 	if w.Draining {
 		c += weightDraining
 	}
@@ -306,6 +302,15 @@
 	return c + freeShare
 }
 
+// tasksAtRisk returns how many other tasks a task may end by a crash of the worker or, if it is no crash suspect, whether
+// one on the worker may end it.
+func tasksAtRisk(p *PendingStep, index int, w *Worker) float64 {
+	if p.CrashSuspects[index] {
+		return float64(w.Tasks)
+	}
+	return float64(min(w.CrashSuspects, 1))
+}
+
 // placeGang assigns all tasks of a gang or none. If the tasks should share a rack, it tries each rack first.
 func placeGang(p *PendingStep, workers []*Worker) []Assignment {
 	if p.Spec.SameRack {
