dispatch, schedule: crash suspects share workers after 2 s, long-running tasks are given up only alone

The few workers of the pool were all taken by suspects, and each deadly task takes one away for 3.3 s, two or three times.

Ruled out by a trial: placing a suspect like any other task after 2 s.

Now a suspect waits 2 s for a worker without another one and then shares one, with other suspects rather than with the rest. A long-running task is given up only if nothing else may have caused its second or a later crash.

dispatch TestSuspectStarves, TestLongRunningBlame, schedule TestLateSuspectSpares; LongRunningBlame fails on the trial.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -9,9 +9,12 @@
 
 const (
 	// maxLoneCrashes is the number of workers that may crash under a task before its job fails, if the last of them ran
-	// nothing else that may be the cause. maxCrashes is the number whatever else ran there.
+	// nothing else that may be the cause. maxCrashes is the number whatever else ran there, for tasks that end on their
+	// own: in its time, a long-running task runs beside many others that may crash its worker.
 	maxLoneCrashes = 2
 	maxCrashes     = 3
+	// maxApartWait is how long a crash suspect waits for a worker without another one.
+	maxApartWait = 2 * time.Second
 	// crashProbation is how long a long-running task must be at full speed before it no longer counts as the possible
 	// cause of a crash.
 	crashProbation = 5 * time.Second
@@ -66,14 +69,24 @@
 		t.Crashes++
 		d.log.Info(eventCrashRecorded, "task", r.id.key.String(), "run", r.id.number, "worker", r.workerID, "machine", machine, "crashes", t.Crashes, "suspects", len(suspects))
 		d.markDirty(r.job)
-		isLoneCause := len(suspects) == 1 && t.Crashes >= maxLoneCrashes
-		if r.job.Outcome == "" && (isLoneCause || t.Crashes >= maxCrashes) {
+		isCause := len(suspects) == 1 && t.Crashes >= maxLoneCrashes || t.Crashes >= maxCrashes && !r.step.LongRunning
+		if r.job.Outcome == "" && isCause {
 			d.finishJob(r.job, task.StateFailed, now)
 			d.saveAndCloseIfEnded(r.job)
 		}
 	}
 }
 
+// mustRunApart reports whether a crash suspect is placed only on a worker without another one. One that has waited for
+// maxApartWait is not: while many tasks crash workers, there are not enough for all.
+func (d *Dispatcher) mustRunApart(t *task.Task, now time.Time) bool {
+	waitingSince := t.NotBefore
+	if waitingSince.Before(d.termStart) {
+		waitingSince = d.termStart
+	}
+	return now.Sub(waitingSince) < maxApartWait
+}
+
 // isTrusted reports whether a run has worked for long enough that it is not taken for the cause of a crash.
 func (r *run) isTrusted(now time.Time) bool {
 	return r.step.LongRunning && !r.fullSpeedSince.IsZero() && now.Sub(r.fullSpeedSince) > crashProbation
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -34,3 +34,33 @@
 	d.recordCrash("m", []*run{suspect, newRun(0, now)}, now)
 	require.Equal(t, task.StateFailed, suspect.job.Outcome, "a third crash is not risked again")
 }
+
+// TestSuspectStarves guards against a task that waits without end for a worker of its own because other tasks keep
+// crashing the few workers of its pool.
+func TestSuspectStarves(t *testing.T) {
+	d := New(t.Context(), election.Gained{Epoch: 1}, Options{Clock: &timer.Service{}})
+	now := d.clock.Now().Add(time.Minute)
+	suspect := &task.Task{Crashes: 1, NotBefore: now}
+	require.True(t, d.mustRunApart(suspect, now))
+	require.False(t, d.mustRunApart(suspect, now.Add(maxApartWait)))
+	restored := &task.Task{Crashes: 1}
+	require.True(t, d.mustRunApart(restored, d.termStart), "a new owner does not know how long the task has waited")
+}
+
+// TestLongRunningBlame guards against a long-running job that is given up, and whose tasks are stopped, because workers
+// crashed under it that other tasks crashed.
+func TestLongRunningBlame(t *testing.T) {
+	d := New(t.Context(), election.Gained{Epoch: 1}, Options{Clock: &timer.Service{}})
+	now := d.clock.Now()
+	newRun := func(longRunning bool) *run {
+		j := &job{Job: task.New("00000000000000aa", "queue", "pool", task.Spec{Steps: []task.Step{{Count: 1, LongRunning: longRunning}}}, now)}
+		return &run{id: runID{key: task.Key{Job: j.ID}}, job: j, step: &j.Spec.Steps[0], phase: phaseRunning, startConfirmedAt: now}
+	}
+	innocent := newRun(true)
+	for range 2 * maxCrashes {
+		d.recordCrash("m", []*run{innocent, newRun(false)}, now)
+	}
+	require.Empty(t, innocent.job.Outcome)
+	d.recordCrash("m", []*run{innocent}, now)
+	require.Equal(t, task.StateFailed, innocent.job.Outcome, "no other task can have caused this crash")
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -85,7 +85,7 @@
 			if pending.CrashSuspects == nil {
 				pending.CrashSuspects = map[int]bool{}
 			}
-			pending.CrashSuspects[i] = true
+			pending.CrashSuspects[i] = d.mustRunApart(t, now)
 		}
 		if len(t.FailedWorkers) > 0 {
 			if pending.FailedWorkers == nil {
--- a/schedule/plan_test.go
+++ b/schedule/plan_test.go
@@ -80,3 +80,16 @@
 	require.Len(t, assignments, 1)
 	require.Equal(t, 1, assignments[0].Task)
 }
+
+// TestLateSuspectSpares guards against a crash suspect that no longer waits for a worker of its own and endangers tasks
+// that are no suspects although it could share a worker with another suspect.
+func TestLateSuspectSpares(t *testing.T) {
+	place := func(mustRunApart bool) worker.ID {
+		capacity := task.Resources{CPU: 16000, Memory: 1000}
+		workers := []*schedule.Worker{{ID: "innocent", Capacity: capacity, Free: capacity, Tasks: 5}, {ID: "suspect", Capacity: capacity, Free: capacity, Tasks: 2, CrashSuspects: 2}}
+		pending := &schedule.PendingStep{Job: "j", Spec: task.Step{Count: 1, Resources: task.Resources{CPU: 1000}}, Tasks: []int{0}, CrashSuspects: map[int]bool{0: mustRunApart}}
+		return schedule.Plan(time.UnixMilli(0), workers, []*schedule.PendingStep{pending})[0].Worker
+	}
+	require.Equal(t, worker.ID("innocent"), place(true))
+	require.Equal(t, worker.ID("suspect"), place(false))
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -46,8 +46,8 @@
 	Tasks []int
 	// FailedWorkers holds the workers on which each task has failed, by the index of the task.
 	FailedWorkers map[int][]string
-	// CrashSuspects holds the waiting tasks under which a worker has crashed. At most one such task is placed on a
-	// worker, so that another crash tells which task causes it.
+	// CrashSuspects has an entry for each waiting task under which a worker has crashed. It is true if the task is placed
+	// only on a worker without another crash suspect, so that another crash tells which task causes it.
 	CrashSuspects map[int]bool
 	// TasksPerWorker is the number of tasks of the step that are placed on each worker.
 	TasksPerWorker map[worker.ID]int
@@ -192,7 +192,7 @@
 func reserve(p *PendingStep, index int, w *Worker) {
 	w.Free = w.Free.Sub(p.Spec.Reservation())
 	w.Tasks++
-	if p.CrashSuspects[index] {
+	if _, isSuspect := p.CrashSuspects[index]; isSuspect {
 		w.CrashSuspects++
 	}
 	if p.Spec.BestEffort {
@@ -255,6 +255,7 @@
 	weightTaskFailed     = 1e6 // the task has failed on the worker
 	weightSuspect        = 1e5 // tasks or orders have recently failed on the worker
 	weightCrash          = 2e4 // per task that would end with the worker, for a crash suspect or beside one
+	weightSharedBlame    = 5e3 // per crash suspect on the worker, for another one
 	weightDraining       = 1e4 // the machine is being drained
 	weightRemoteRack     = 1e3 // the data, or the rest of the tasks, are on another rack
 	weightInterference   = 1e2 // per pair of best-effort and latency-sensitive tasks on one worker
@@ -273,7 +274,7 @@
 	if w.Suspect {
 		c += weightSuspect
 	}
-	c += weightCrash * tasksAtRisk(p, index, w)
+	c += crashCost(p, index, w)
 	if w.Draining {
 		c += weightDraining
 	}
@@ -302,13 +303,13 @@
 	return c + freeShare
 }
 
-// tasksAtRisk returns how many other tasks a task may end by a crash of the worker or, if it is no crash suspect, whether
-// one on the worker may end it.
-func tasksAtRisk(p *PendingStep, index int, w *Worker) float64 {
-	if p.CrashSuspects[index] {
-		return float64(w.Tasks)
+// crashCost rates a worker by the tasks that a crash would end. A crash suspect endangers the tasks on the worker, and
+// another suspect there would share the blame; any other task is endangered by a suspect.
+func crashCost(p *PendingStep, index int, w *Worker) float64 {
+	if _, isSuspect := p.CrashSuspects[index]; isSuspect {
+		return weightCrash*float64(w.Tasks-w.CrashSuspects) + weightSharedBlame*float64(w.CrashSuspects)
 	}
-	return float64(min(w.CrashSuspects, 1))
+	return weightCrash * float64(min(w.CrashSuspects, 1))
 }
 
 // placeGang assigns all tasks of a gang or none. If the tasks should share a rack, it tries each rack first.
