dispatch: the silence of a worker is no work, and lost runs stay known

(1) A long-running task is trusted after 5 s at full speed, but the time until the crash was noticed counted too; a crash is noticed some 3.3 s after the worker fell silent, so a task that crashes its worker after 2 s at full speed was never blamed. (2) The lease of an unreachable worker expires again while a planned run is left there; the list of lost runs was then replaced by an empty one, and their crash would not have been counted.

dispatch TestSilenceIsNoWork and TestLostRunsKept fail before and pass after.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -35,6 +35,9 @@
 			lost.runs = append(lost.runs, r)
 		}
 	}
+	if len(lost.runs) == 0 {
+		return
+	}
 	if d.lostRuns == nil {
 		d.lostRuns = map[worker.MachineID]lostRuns{}
 	}
@@ -89,7 +92,11 @@
 
 // isTrusted reports whether a run has worked for long enough that it is not taken for the cause of a crash.
 func (r *run) isTrusted(now time.Time) bool {
-	return r.step.LongRunning && !r.fullSpeedSince.IsZero() && now.Sub(r.fullSpeedSince) > crashProbation
+	workedUntil := now
+	if s := r.worker; s != nil && !s.unreachableSince.IsZero() {
+		workedUntil = s.unreachableSince
+	}
+	return r.step.LongRunning && !r.fullSpeedSince.IsZero() && workedUntil.Sub(r.fullSpeedSince) > crashProbation
 }
 
 // clearCrashes ends the suspicion against the task of a run that has worked for long enough.
@@ -100,15 +107,6 @@
 	}
 }
 
-// runList returns the runs of a worker.
-func (s *workerState) runList() []*run {
-	runs := make([]*run, 0, len(s.runs))
-	for _, r := range s.runs {
-		runs = append(runs, r)
-	}
-	return runs
-}
-
 // isLeaving reports whether the worker has announced that it will end, or an order has ended it.
 func (s *workerState) isLeaving() bool {
 	return s.endedByOrder || s.registration.State == worker.StateDraining
--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -64,3 +64,28 @@
 	d.recordCrash("m", []*run{innocent}, now)
 	require.Equal(t, task.StateFailed, innocent.job.Outcome, "no other task can have caused this crash")
 }
+
+// TestSilenceIsNoWork guards against a long-running task that escapes the blame for a crash because the time in which its
+// worker was already silent counts as time at work.
+func TestSilenceIsNoWork(t *testing.T) {
+	d := New(t.Context(), election.Gained{Epoch: 1}, Options{Clock: &timer.Service{}})
+	startedAt := d.clock.Now()
+	j := &job{Job: task.New("00000000000000aa", "queue", "pool", task.Spec{Steps: []task.Step{{Count: 1, LongRunning: true}}}, startedAt)}
+	silent := &workerState{unreachableSince: startedAt.Add(time.Second)}
+	r := &run{id: runID{key: task.Key{Job: j.ID}}, job: j, step: &j.Spec.Steps[0], phase: phaseRunning, startConfirmedAt: startedAt, fullSpeedSince: startedAt, worker: silent}
+	d.recordCrash("m", []*run{r}, startedAt.Add(2*crashProbation))
+	require.Equal(t, 1, r.task().Crashes)
+}
+
+// TestLostRunsKept guards against runs that are forgotten as possible causes of a crash because the lease of their worker
+// expires again for a run that was planned but not started.
+func TestLostRunsKept(t *testing.T) {
+	d := New(t.Context(), election.Gained{Epoch: 1}, Options{Clock: &timer.Service{}})
+	started := &run{id: runID{number: 1}, phase: phaseRunning}
+	s := &workerState{incarnation: 1, runs: map[runID]*run{started.id: started}}
+	d.recordLostRuns(s)
+	planned := &run{id: runID{number: 2}, phase: phasePlanned}
+	s.runs = map[runID]*run{planned.id: planned}
+	d.recordLostRuns(s)
+	require.Equal(t, []*run{started}, d.takeLostRuns("", 2))
+}
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strings"
 	"time"
 
@@ -388,7 +390,7 @@
 func (d *Dispatcher) handleRestart(s *workerState, incarnation worker.Incarnation) {
 	d.log.Info(eventWorkerRestarted, "worker", s.id, "birth", s.incarnation, "next", incarnation, "runs", len(s.runs))
 	if lost := d.takeLostRuns(s.registration.Machine, incarnation); !s.isLeaving() {
-		d.recordCrash(s.registration.Machine, append(lost, s.runList()...), d.clock.Now())
+		d.recordCrash(s.registration.Machine, slices.AppendSeq(lost, maps.Values(s.runs)), d.clock.Now())
 	}
 	s.incarnation = incarnation
 	s.tokenAcknowledged = false
@@ -415,7 +417,7 @@
 		d.log.Info(eventIncarnationEnded, "worker", s.id, "machine", s.registration.Machine, "runs", len(s.runs))
 	}
 	if lost := d.takeLostRuns(s.registration.Machine, 0); !s.isLeaving() {
-		d.recordCrash(s.registration.Machine, append(lost, s.runList()...), now)
+		d.recordCrash(s.registration.Machine, slices.AppendSeq(lost, maps.Values(s.runs)), now)
 	}
 	for _, r := range s.runs {
 		d.endLostRun(r, worker.CauseLeaseExpired, now)
