--- a/cmd/run.go
+++ b/cmd/run.go
@@ -20,8 +20,8 @@
 	memoryLimitPercent = 60
 	// defaultMemoryLimit is the memory limit of the Go runtime in bytes if the settings do not name the memory.
 	defaultMemoryLimit = 160 << 20
-	// gcPercent is the growth of the heap in percent that triggers the next garbage collection. With 50, the collector
-	// took a large part of the owner's processor time in a burst.
+	// gcPercent is the growth of the heap in percent that triggers the next garbage collection. With 50, the owner of a
+	// large deployment fell behind in bursts.
 	gcPercent = 200
 )
 
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -42,7 +42,7 @@
 	eventSpeedFailed            = event.Define(2538, "pace.failed", "an order to change the speed of a task failed; it is repeated")
 	eventAdviceFailed           = event.Define(2539, "advice.failed", "a request to the advice service failed; it is repeated")
 	eventAdviceReceived         = event.Define(2540, "advice.given", "the advice service named the workers that may run a step")
-	eventTaskUnavailable        = event.Define(2542, "task.away", "a long-running task has ended that may be unavailable only together with a limited number of others; away counts the other tasks of its step that are not at full speed")
+	eventTaskUnavailable        = event.Define(2542, "task.away", "a long-running task of a step with a limit of unavailable tasks has ended; away counts the other tasks of the step that are not at full speed, most is the limit")
 	eventCycleLate              = event.Define(2543, "cycle.late", "a cycle of the owner has taken long: late is the time beyond its interval, of which it waited for the lock, worked, and waited for the processor after its timer")
 	eventCrashRecorded          = event.Define(2544, "task.crash", "a worker has crashed while the task ran there, which may be the cause; suspects is the number of such tasks")
 	eventSpeedChanged           = event.Define(2537, "task.paced", "the speed of a best-effort task was changed")
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -40,8 +40,8 @@
 	// slowAppendTime is the duration from which an append is logged.
 	slowAppendTime = 200 * time.Millisecond
 	// maxAppendBytes is the size at which nothing more is added to an append, which may exceed it by the last write.
-	// The store accepts up to 2 MB, but a busy owner sends only about 0.6 MB/s, and an append that does not end within
-	// appendTimeout is repeated as it is.
+	// The store accepts up to 2 MB, but a large append of a busy owner may not end within appendTimeout, and it is
+	// repeated as it is.
 	maxAppendBytes = 128 << 10
 )
 
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -233,7 +233,7 @@
 }
 
 // TestBacklogNeverStored guards against a backlog that is sent as one append, which takes longer than the timeout of an
-// append each time that it is repeated. A busy owner sends half a megabyte in a second.
+// append each time that it is repeated. A busy owner may send no more than half a megabyte in a second.
 func TestBacklogNeverStored(t *testing.T) {
 	s := &store{up: true, maxBytes: 500_000}
 	l, _ := openAndRun(t, s)
