platform, dispatch: call workers with a cheaper HTTP client, responses that are too large are errors

Nearly all of the processor time that remains per task is HTTP to workers (BenchmarkBurst with 1,100 workers). fasthttp reads and writes in the calling goroutine; net/http passes each call through two more. Calls are never repeated by the client (TestOrderRepeatedByClient), end at their deadline, and a response over 8 MiB is an error, also with the other client, which cut it off in silence.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"time"
 
@@ -69,14 +68,14 @@
 
 // Dispatcher carries out the work of the owner during one term.
 type Dispatcher struct {
-	store   *platform.Store
-	fleet   *platform.Fleet
-	advisor *platform.Advisor
-	clients Clients
-	timing  Timing
-	clock   *timer.Service
-	log     event.Log
-	epoch   platform.Epoch
+	store        *platform.Store
+	fleet        *platform.Fleet
+	advisor      *platform.Advisor
+	workerClient *platform.WorkerClient
+	timing       Timing
+	clock        *timer.Service
+	log          event.Log
+	epoch        platform.Epoch
 	// partition is the partition that held the ledger when the term began.
 	partition int
 	ownership Ownership
@@ -130,12 +129,6 @@
 	draining bool
 }
 
-// Clients holds the HTTP clients for calls to workers.
-type Clients struct {
-	// LongPoll is for lease renewals, which workers may answer late; Orders is for all other calls.
-	LongPoll, Orders *http.Client
-}
-
 // Counters holds the current number of jobs, runs and workers, and counts events since the term began.
 type Counters struct {
 	OpenJobs, ActiveRuns, KnownWorkers, ReachableWorkers                                                                                int64
@@ -201,7 +194,7 @@
 	Store     *platform.Store
 	Fleet     *platform.Fleet
 	Advisor   *platform.Advisor
-	Clients   Clients
+	Workers   *platform.WorkerClient
 	Timing    Timing
 	Clock     *timer.Service
 	Log       event.Log
@@ -222,7 +215,7 @@
 	}
 	return &Dispatcher{
 		cores: o.Cores,
-		store: o.Store, fleet: o.Fleet, advisor: o.Advisor, clients: o.Clients, timing: o.Timing, clock: o.Clock, log: o.Log, epoch: gained.Epoch, partition: gained.Partition, ownership: o.Ownership, inheritedRunTimeout: inheritedRunTimeout,
+		store: o.Store, fleet: o.Fleet, advisor: o.Advisor, workerClient: o.Workers, timing: o.Timing, clock: o.Clock, log: o.Log, epoch: gained.Epoch, partition: gained.Partition, ownership: o.Ownership, inheritedRunTimeout: inheritedRunTimeout,
 		termStart: o.Clock.Now(), ctx: ctx, cycleRequests: make(chan struct{}, 1), config: o.Config,
 		jobs: map[task.JobID]*job{}, workers: map[worker.ID]*workerState{}, registrations: map[worker.ID]worker.Registration{},
 		runs: map[runID]*run{}, arrivals: map[queue.Name]*arrivalStats{}, adviceByStep: map[string]*advice{}, adviceRequests: make(chan adviceRequest, maxAdviceRequests), maintenance: maintenance{refusedPools: map[worker.MachineID]pool.Name{}},
--- a/dispatch/registration.go
+++ b/dispatch/registration.go
@@ -125,7 +125,7 @@
 		s.requestRenewal()
 	}
 	if registration.Address != s.registration.Address {
-		s.client = &platform.Worker{ID: registration.ID, Address: registration.Address, LongPollHTTP: d.clients.LongPoll, OrderHTTP: d.clients.Orders}
+		s.client = &platform.Worker{ID: registration.ID, Address: registration.Address, Client: d.workerClient}
 	}
 	s.registration = registration
 	s.rack = rackLabel(registration.Labels)
--- a/process/process.go
+++ b/process/process.go
@@ -35,11 +35,9 @@
 	// connections of callers. The limits in the configuration are not applied.
 	headerTimeout = 3 * time.Second
 	idleTimeout   = 60 * time.Second
-	// peerIdleConns, platformIdleConns and workerIdleConns limit the idle connections to one peer, to one
-	// service of the platform and to one worker.
+	// peerIdleConns and platformIdleConns limit the idle connections to one peer and to one service of the platform.
 	peerIdleConns     = 4
 	platformIdleConns = 4
-	workerIdleConns   = 1
 )
 
 // Process is one entry.
@@ -49,7 +47,7 @@
 	store    *platform.Store
 	fleet    *platform.Fleet
 	advisor  *platform.Advisor
-	clients  dispatch.Clients
+	workers  *platform.WorkerClient
 	peerHTTP *http.Client
 	elector  *election.Elector
 	follower *operator.Follower
@@ -83,7 +81,7 @@
 		store:    &platform.Store{Address: s.StoreAddress, HTTP: client},
 		fleet:    &platform.Fleet{Address: s.FleetAddress, HTTP: client, LeaseHolder: string(s.ID)},
 		advisor:  &platform.Advisor{Address: s.AdvisorAddress, HTTP: client},
-		clients:  dispatch.Clients{LongPoll: platform.NewHTTPClient(workerIdleConns), Orders: platform.NewHTTPClient(workerIdleConns)},
+		workers:  platform.NewWorkerClient(),
 		peerHTTP: platform.NewHTTPClient(peerIdleConns),
 		members:  map[election.Member]memberState{},
 	}
@@ -187,7 +185,7 @@
 	p.log.Info(eventOwnershipGained, "epoch", epoch, "earlier", gained.Departure)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := dispatch.New(ctx, gained, dispatch.Options{
-		Store: p.store, Fleet: p.fleet, Advisor: p.advisor, Clients: p.clients, Clock: p.clock, Log: p.log.With("epoch", epoch), Config: p.follower.Config(), Ownership: p.elector, Cores: p.currentSettings().Cores,
+		Store: p.store, Fleet: p.fleet, Advisor: p.advisor, Workers: p.workers, Clock: p.clock, Log: p.log.With("epoch", epoch), Config: p.follower.Config(), Ownership: p.elector, Cores: p.currentSettings().Cores,
 		Timing: newDispatchTiming(p.currentSettings().Timings),
 	})
 	p.mu.Lock()
