--- a/dispatch/registration.go
+++ b/dispatch/registration.go
@@ -102,9 +102,11 @@
 	registration, err := platform.ParseRegistration(record.Key, record.Value)
 	if err != nil {
 		if known {
+			// Another writer may have overwritten the entry, so the worker may go on working.
 			d.log.Info(eventRegistrationUnreadable, "worker", id, "error", err)
+			previous.State = worker.StateUnreadable
+			d.registrations[id] = previous
 		}
-		delete(d.registrations, id)
 		return
 	}
 	d.registrations[id] = registration
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -35,6 +35,8 @@
 const (
 	StateReady    State = "ready"
 	StateDraining State = "draining"
+	// StateUnreadable is that of a known worker whose registration can no longer be read. No worker reports it.
+	StateUnreadable State = "unreadable"
 )
 
 // Registration is what a worker publishes about itself so that it receives tasks.
