schedule: steps that request no less than an unmet request are not tried

Capacity only shrinks during a plan, so a step that asks for as much as one that found no place cannot start either.

TestSkippedStepCouldStart compares a plan of all steps with plans of one step after the other.

--- a/schedule/plan_test.go
+++ b/schedule/plan_test.go
@@ -93,3 +93,49 @@
 	require.Equal(t, worker.ID("innocent"), place(true))
 	require.Equal(t, worker.ID("suspect"), place(false))
 }
+
+// TestSkippedStepCouldStart guards against steps of an overload that a plan skips because others found no capacity, although
+// they could start. It compares a plan of all steps with plans of one step after the other, which skip nothing.
+func TestSkippedStepCouldStart(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	rapid.Check(t, func(t *rapid.T) {
+		var together, apart []*schedule.Worker
+		for i := range rapid.IntRange(1, 6).Draw(t, "workers") {
+			w := schedule.Worker{
+				ID: worker.ID(fmt.Sprint(i)), Rack: fmt.Sprint(i % 2), Draining: rapid.Bool().Draw(t, "draining"),
+				Free: task.Resources{CPU: rapid.Int64Range(0, 12).Draw(t, "cpu"), Memory: rapid.Int64Range(0, 12).Draw(t, "memory")},
+			}
+			if rapid.Bool().Draw(t, "labelled") {
+				w.Labels = []string{"fast"}
+			}
+			copied := w
+			together, apart = append(together, &w), append(apart, &copied)
+		}
+		var pending, copies []*schedule.PendingStep
+		for i := range rapid.IntRange(1, 8).Draw(t, "steps") {
+			p := schedule.PendingStep{Job: task.JobID(fmt.Sprint(i)), SoftDeadline: now.Add(time.Duration(i) * time.Second), HardDeadline: now.Add(time.Minute)}
+			p.Spec = task.Step{
+				Gang: rapid.Bool().Draw(t, "gang"), SameRack: rapid.Bool().Draw(t, "rack"), LongRunning: rapid.Bool().Draw(t, "lasting"),
+				MaxPerWorker: rapid.IntRange(0, 1).Draw(t, "most"), RequiredLabel: rapid.SampledFrom([]string{"", "fast"}).Draw(t, "label"),
+				Resources: task.Resources{CPU: rapid.Int64Range(0, 6).Draw(t, "cpu"), Memory: rapid.Int64Range(0, 6).Draw(t, "memory")},
+			}
+			for n := range rapid.IntRange(1, 4).Draw(t, "tasks") {
+				p.Tasks = append(p.Tasks, n)
+			}
+			copied := p
+			pending, copies = append(pending, &p), append(copies, &copied)
+		}
+		var expected []string
+		schedule.SortByUrgency(copies, now)
+		for _, p := range copies {
+			for _, a := range schedule.Plan(now, apart, []*schedule.PendingStep{p}) {
+				expected = append(expected, fmt.Sprint(a.Pending.Job, a.Task, a.Worker))
+			}
+		}
+		var planned []string
+		for _, a := range schedule.Plan(now, together, pending) {
+			planned = append(planned, fmt.Sprint(a.Pending.Job, a.Task, a.Worker))
+		}
+		require.Equal(t, expected, planned)
+	})
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -152,8 +152,9 @@
 		}
 	}
 	SortByUrgency(candidates, now)
+	var full shortage
 	for _, p := range candidates {
-		if !free.CanFit(p.Spec.Reservation()) {
+		if !free.CanFit(p.Spec.Reservation()) || full.affects(p) {
 			continue
 		}
 		var placed []Assignment
@@ -162,6 +163,9 @@
 		} else {
 			placed = placeTasks(p, workers)
 		}
+		if len(placed) < len(p.Tasks) {
+			full.add(p)
+		}
 		if len(placed) > 0 {
 			assignments = append(assignments, placed...)
 			free = largestFree(workers)
@@ -170,6 +174,48 @@
 	return assignments
 }
 
+// shortage holds requests for capacity that no worker, or no set of workers, can meet any more. Capacity only shrinks
+// during a plan, so that steps which request as much or more need not be tried. In an overload, thousands of steps wait
+// and each try compares a task with all workers. The zero value is empty.
+type shortage struct{ unmet []request }
+
+// request is what a step requests: a worker with the given label and free capacity, or as many places as a gang has tasks.
+type request struct {
+	reservation task.Resources
+	label       string
+	longRunning bool
+	places      int
+}
+
+func requestOf(p *PendingStep) request {
+	r := request{reservation: p.Spec.Reservation(), label: p.Spec.RequiredLabel, longRunning: p.Spec.LongRunning, places: 1}
+	if p.Spec.Gang {
+		r.places = len(p.Tasks)
+	}
+	return r
+}
+
+// add records that the tasks of a step could not all be placed. It ignores steps that may have failed for another reason
+// than capacity.
+func (s *shortage) add(p *PendingStep) {
+	if p.Spec.MaxPerWorker > 0 || p.Tickets != nil || len(p.CrashSuspects) > 0 {
+		return
+	}
+	s.unmet = append(s.unmet, requestOf(p))
+}
+
+// affects reports whether a step requests no less than one that could not be met.
+func (s *shortage) affects(p *PendingStep) bool {
+	r := requestOf(p)
+	for _, u := range s.unmet {
+		isLooser := (u.label == "" || u.label == r.label) && (!u.longRunning || r.longRunning)
+		if isLooser && u.places <= r.places && r.reservation.CanFit(u.reservation) {
+			return true
+		}
+	}
+	return false
+}
+
 // largestFree returns for each component of resources the largest amount that is free on any worker.
 func largestFree(workers []*Worker) task.Resources {
 	var free task.Resources
