election, speed, process: hand the term over by the speed that an instance has now, and when that helps callers

Heartbeats and the candidacy delay state the cores that remain. The decision is pure (election.Tenure): an owner on a slowed instance resigns to a faster peer, a small one only when its workers have answered and no tasks wait, or after 4 s; a term that was handed over is kept for 10 s, or 4 s on a slowed instance. Small instances leave a vacant ownership to larger ones for up to 1.5 s instead of 0.6 s. The list of workers is read while the ledger is opened.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -81,6 +81,8 @@
 	ownership Ownership
 	// cores is the number of processor cores that this process may use.
 	cores float64
+	// handedOver is set if the previous owner resigned in favour of this process.
+	handedOver bool
 	// termStart is when the term began.
 	termStart time.Time
 	// inheritedRunTimeout is how long after termStart runs of the earlier owner are kept on workers that this
@@ -90,6 +92,9 @@
 	ledgerOpenedAt time.Time
 	ctx            context.Context
 	cycleRequests  chan struct{}
+	// restored is closed once the stored jobs are loaded. A worker must not be called before: its runs would be taken for
+	// unknown ones and stopped.
+	restored chan struct{}
 	// adviceRequests are the queued requests to the advice service.
 	adviceRequests chan adviceRequest
 
@@ -119,6 +124,10 @@
 	counters          Counters
 	// timeoutsCheckedAt and slowCheckAt are when checkTimeouts last made its checks and the slow ones among them.
 	timeoutsCheckedAt, slowCheckAt time.Time
+	// unsettledWorkers is the number of registered workers that have neither answered nor failed to, and hasWaitingTasks is
+	// set if tasks waited, both as of the last check.
+	unsettledWorkers int
+	hasWaitingTasks  bool
 	// hasCrashSuspects is set once a worker has crashed under a task.
 	hasCrashSuspects bool
 	// inheritedRuns holds the runs of earlier owners by machine.
@@ -215,8 +224,8 @@
 	}
 	return &Dispatcher{
 		cores: o.Cores,
-		store: o.Store, fleet: o.Fleet, advisor: o.Advisor, workerClient: o.Workers, timing: o.Timing, clock: o.Clock, log: o.Log, epoch: gained.Epoch, partition: gained.Partition, ownership: o.Ownership, inheritedRunTimeout: inheritedRunTimeout,
-		termStart: o.Clock.Now(), ctx: ctx, cycleRequests: make(chan struct{}, 1), config: o.Config,
+		store: o.Store, fleet: o.Fleet, advisor: o.Advisor, workerClient: o.Workers, timing: o.Timing, clock: o.Clock, log: o.Log, epoch: gained.Epoch, handedOver: gained.Departure == election.DepartureResigned, partition: gained.Partition, ownership: o.Ownership, inheritedRunTimeout: inheritedRunTimeout,
+		termStart: o.Clock.Now(), ctx: ctx, cycleRequests: make(chan struct{}, 1), restored: make(chan struct{}), config: o.Config,
 		jobs: map[task.JobID]*job{}, workers: map[worker.ID]*workerState{}, registrations: map[worker.ID]worker.Registration{},
 		runs: map[runID]*run{}, arrivals: map[queue.Name]*arrivalStats{}, adviceByStep: map[string]*advice{}, adviceRequests: make(chan adviceRequest, maxAdviceRequests), maintenance: maintenance{refusedPools: map[worker.MachineID]pool.Name{}},
 	}
@@ -225,11 +234,11 @@
 // Run performs the owner's work until the context ends or the ledger rejects it because a later owner has
 // opened the ledger. It returns the reason.
 func (d *Dispatcher) Run() error {
+	go d.pollRegistrations() // reads the registrations while the ledger is opened
 	l, err := d.openLedger()
 	if err != nil {
 		return err
 	}
-	go d.pollRegistrations()
 	go d.runMaintenance()
 	go d.runAdviceRequests()
 	go d.runCycles()
@@ -307,14 +316,14 @@
 	}
 }
 
-// minHandoverAge is the minimum age of a term before the owner may hand over to a process with more
-// capacity.
-const minHandoverAge = 2 * time.Second
-
-// CanHandOver reports whether the stored jobs are loaded and the term is old enough to be handed over to a
-// process with more capacity.
-func (d *Dispatcher) CanHandOver() bool {
-	return d.IsLoaded() && d.clock.Since(d.termStart) > minHandoverAge
+// Tenure returns what the dispatcher knows about the term; the other fields are zero.
+func (d *Dispatcher) Tenure() election.Tenure {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return election.Tenure{
+		Age: d.clock.Since(d.termStart), HandedOver: d.handedOver, IsLoaded: d.ledger != nil,
+		HasSettled: !d.registrationsLoadedAt.IsZero() && d.unsettledWorkers == 0, HasWaitingTasks: d.hasWaitingTasks,
+	}
 }
 
 // requestCycle triggers a cycle unless one is already requested.
--- a/dispatch/persistence.go
+++ b/dispatch/persistence.go
@@ -279,6 +279,7 @@
 	}
 	d.restoreJobs(submissions, progress)
 	d.ledger = l
+	close(d.restored)
 	d.log.Info(eventTermBegan, "epoch", d.epoch, "jobs", len(d.jobs), "open", len(d.openJobs), "runs", len(d.runs))
 	d.requestCycle()
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -23,11 +23,19 @@
 	}
 	now := d.clock.Now()
 	pending := d.pendingSteps(now)
+	waiting := 0
+	for _, steps := range pending {
+		for _, step := range steps {
+			waiting += len(step.Tasks)
+		}
+	}
 	for name, workers := range d.availableWorkers(pending, now) {
 		for _, a := range schedule.Plan(now, workers, pending[name]) {
 			d.assignTask(a)
+			waiting--
 		}
 	}
+	d.hasWaitingTasks = waiting > 0
 }
 
 // availableWorkers returns the workers that can take tasks, by pool. It leaves out pools without pending steps.
@@ -127,8 +135,11 @@
 		return
 	}
 	d.timeoutsCheckedAt = now
-	d.busyWorkers = 0
+	d.busyWorkers, d.unsettledWorkers = 0, 0
 	for _, s := range d.workers {
+		if !s.tokenAcknowledged && s.unreachableSince.IsZero() {
+			d.unsettledWorkers++
+		}
 		if len(s.runs) > 0 {
 			d.busyWorkers++
 		}
--- a/dispatch/registration.go
+++ b/dispatch/registration.go
@@ -38,8 +38,8 @@
 	}
 }
 
-// loadRegistrations reads all registrations and drops those that no longer exist. It returns the offset from
-// which to read changes, or -1 if it fails.
+// loadRegistrations reads all registrations, waits until the stored jobs are loaded, and drops the registrations that no
+// longer exist. It returns the offset from which to read changes, or -1 if it fails.
 func (d *Dispatcher) loadRegistrations() (platform.Offset, error) {
 	callCtx, cancel := d.clock.WithTimeout(d.ctx, readTimeout)
 	defer cancel()
@@ -47,6 +47,11 @@
 	if err != nil {
 		return -1, err
 	}
+	select {
+	case <-d.ctx.Done():
+		return -1, d.ctx.Err()
+	case <-d.restored:
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	present := map[worker.ID]bool{}
--- a/process/error.go
+++ b/process/error.go
@@ -18,6 +18,7 @@
 	eventOwnershipLost      = event.Define(1055, "tenure.lost", "this process is no longer the owner")
 	eventOwnerSilent        = event.Define(1058, "owner.silent", "the owner does not respond; the members that it named have voted")
 	eventMetricsUnserved    = event.Define(1057, "metrics.unserved", "the metrics cannot be served; callers are still served")
+	eventSpeedChanged       = event.Define(1061, "instance.speed", "the instance was slowed down or has recovered; factor is how many times as long as at its best it takes for the same work")
 	eventSettingsReloaded   = event.Define(1059, "settings.reloaded", "the settings were reloaded; changed addresses require a restart")
 	eventSettingsUnreadable = event.Define(1060, "settings.unread", "the settings cannot be read; the current ones stay in force")
 	eventTermEnded          = event.Define(1056, "tenure.ended", "the term of an owner has ended")
--- a/process/peers.go
+++ b/process/peers.go
@@ -26,27 +26,16 @@
 	// members observe their candidacy delays.
 	heartbeatRetryDelay = 50 * time.Millisecond
 	suspicionTimeout    = 200 * time.Millisecond
-	// resignAfter is how long the store may be silent before an owner resigns in favour of a peer that
-	// reaches it.
-	resignAfter = 1300 * time.Millisecond
 	// probeAfter is how long the store may be silent before an owner asks its peers to try to reach it. A
 	// success counts for probeValidity.
-	probeAfter    = 700 * time.Millisecond
-	probeValidity = time.Second
-	// smallerPeerDelay is how much longer an owner waits before it resigns in favour of a peer on a smaller
-	// instance, so that the heartbeats of all peers can arrive. A peer counts as smaller if its cores are less
-	// than equalCoresRatio times those of the owner.
-	smallerPeerDelay = 500 * time.Millisecond
-	equalCoresRatio  = 0.9
-	// largerCoresRatio is how many times the cores of the owner a peer must have to take over. A change of
-	// owner interrupts placement for about 100 ms.
-	largerCoresRatio  = 1.5
+	probeAfter        = 700 * time.Millisecond
+	probeValidity     = time.Second
 	millicoresPerCore = 1000
 	// defaultLargestCores is assumed to be the size of the largest instance until the owner reports it. A
 	// process with that many cores claims a vacant ownership immediately; the fewer cores it has, the longer
 	// it waits, up to maxCandidacyDelay.
 	defaultLargestCores = 0.8
-	maxCandidacyDelay   = 600 * time.Millisecond
+	maxCandidacyDelay   = 1500 * time.Millisecond
 	// maxVoters is the number of other members that vote before the owner is replaced.
 	maxVoters = 3
 	// noOwnerRetryDelay is how long a caller should wait before it retries a request that was refused because
@@ -56,8 +45,32 @@
 
 // candidacyDelayOf returns how long a process waits before it claims a vacant ownership, given its cores and
 // those of the largest member.
-func candidacyDelayOf(cores, largest float64) time.Duration {
-	return time.Duration(max(0, 1-cores/largest) * float64(maxCandidacyDelay))
+func candidacyDelayOf(cores, largest election.Cores) time.Duration {
+	return time.Duration(max(0, 1-float64(cores/largest)) * float64(maxCandidacyDelay))
+}
+
+// currentCores returns the cores that this process has at present.
+func (p *Process) currentCores() election.Cores {
+	return election.Cores(p.currentSettings().Cores / p.speed.Factor())
+}
+
+// measureSpeed measures the speed of this process, unless it did so less than heartbeatPeriod ago, and applies it to the
+// candidacy delay. It returns the time of the latest measurement.
+func (p *Process) measureSpeed(measuredAt time.Time) time.Time {
+	now := p.clock.Now()
+	if now.Sub(measuredAt) < heartbeatPeriod {
+		return measuredAt
+	}
+	before := p.speed.Factor()
+	p.speed.Sample(p.clock.Now)
+	if after := p.speed.Factor(); (before > 1) != (after > 1) {
+		p.log.Info(eventSpeedChanged, "factor", after, "before", before)
+	}
+	p.mu.Lock()
+	largest := p.largestCores
+	p.mu.Unlock()
+	p.elector.SetCandidacyDelay(candidacyDelayOf(p.currentCores(), largest))
+	return now
 }
 
 // relayServer serves peers.
@@ -121,17 +134,11 @@
 	return response, nil
 }
 
-// resignReason returns why this owner resigns in favour of the sender; empty if it does not.
+// resignReason returns why this owner resigns in favour of the sender of a heartbeat; empty if it does not.
 func (p *Process) resignReason(d *dispatch.Dispatcher, heartbeat *relay.Sign) string {
-	coresRatio := float64(heartbeat.Cores) / (millicoresPerCore * p.currentSettings().Cores)
-	silenceExcess := p.elector.StoreSilence() - resignAfter
-	switch {
-	case heartbeat.Store && (silenceExcess > smallerPeerDelay || silenceExcess > 0 && coresRatio >= equalCoresRatio):
-		return "a peer reaches the store, this process does not"
-	case silenceExcess <= 0 && d.CanHandOver() && coresRatio > largerCoresRatio:
-		return "a peer on a larger instance takes over"
-	}
-	return ""
+	tenure := d.Tenure()
+	tenure.Cores, tenure.IsSlowed, tenure.StoreSilence = p.currentCores(), p.speed.Factor() > 1, p.elector.StoreSilence()
+	return tenure.ResignReason(election.Peer{Cores: election.Cores(heartbeat.Cores) / millicoresPerCore, ReachesStore: heartbeat.Store})
 }
 
 // memberState is what the owner knows about another member.
@@ -144,13 +151,14 @@
 // recordHeartbeat records a heartbeat. It returns up to maxVoters other members that have sent one recently, and
 // the cores of the largest member in thousandths.
 func (p *Process) recordHeartbeat(heartbeat *relay.Sign) ([]string, int64) {
+	ownMillicores := int64(millicoresPerCore * p.currentCores())
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := p.clock.Now()
 	sender := election.Member(heartbeat.Member)
 	p.members[sender] = memberState{lastHeartbeat: now, millicores: heartbeat.Cores}
 	var others []string
-	maxMillicores := int64(millicoresPerCore * p.settings.Cores)
+	maxMillicores := ownMillicores
 	for m, state := range p.members {
 		if now.Sub(state.lastHeartbeat) > election.HeartbeatTimeout {
 			delete(p.members, m)
@@ -213,8 +221,10 @@
 // runHeartbeats sends heartbeats to the owner and replaces an owner that has failed.
 func (p *Process) runHeartbeats(ctx context.Context) {
 	var detector election.Detector
+	var measuredAt time.Time
 	pause := heartbeatRetryDelay
 	for p.clock.Sleep(ctx, pause) == nil {
+		measuredAt = p.measureSpeed(measuredAt)
 		owner := p.elector.Owner()
 		detector.SetOwner(owner, p.clock.Now())
 		pause = heartbeatPeriod
@@ -264,7 +274,7 @@
 	callCtx, cancel := p.clock.WithTimeout(ctx, timeout)
 	defer cancel()
 	_, offset := p.follower.Document()
-	return p.relayClient(member).Beat(callCtx, &relay.Sign{Member: string(p.elector.Member), Config: int64(offset), Store: p.hasReachedStore(), Cores: int64(millicoresPerCore * p.currentSettings().Cores)})
+	return p.relayClient(member).Beat(callCtx, &relay.Sign{Member: string(p.elector.Member), Config: int64(offset), Store: p.hasReachedStore(), Cores: int64(millicoresPerCore * p.currentCores())})
 }
 
 // recordOwnerResponse records that the owner has answered a heartbeat, and applies what it reports: the voters, the
@@ -274,10 +284,10 @@
 	p.mu.Lock()
 	p.ownerRespondedAt = p.clock.Now()
 	p.voters = response.Members
-	p.mu.Unlock()
 	if response.Cores > 0 {
-		p.elector.SetCandidacyDelay(candidacyDelayOf(p.currentSettings().Cores, float64(response.Cores)/millicoresPerCore))
+		p.largestCores = election.Cores(response.Cores) / millicoresPerCore
 	}
+	p.mu.Unlock()
 	if response.Probe && p.elector.CanReachStore(ctx) {
 		p.mu.Lock()
 		p.storeReachedAt = p.clock.Now()
--- a/process/process.go
+++ b/process/process.go
@@ -20,6 +20,7 @@
 	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/relay"
 	"hibiscuslane.example/hibiscuslane/settings"
+	"hibiscuslane.example/hibiscuslane/speed"
 	"hibiscuslane.example/hibiscuslane/timer"
 )
 
@@ -52,6 +53,7 @@
 	elector  *election.Elector
 	follower *operator.Follower
 	handler  *ingress.Handler
+	speed    speed.Meter
 
 	stopping atomic.Bool
 	mu       sync.Mutex
@@ -67,6 +69,8 @@
 	// voters are the other members that the owner named in its last response. If the owner stops responding,
 	// they vote on whether it may be replaced.
 	voters []string
+	// largestCores are the cores of the largest member that the owner knows.
+	largestCores election.Cores
 	// members are the members that sent a heartbeat while this process was the owner. recordHeartbeat removes
 	// those that have stopped sending.
 	members map[election.Member]memberState
@@ -83,11 +87,11 @@
 		advisor:  &platform.Advisor{Address: s.AdvisorAddress, HTTP: client},
 		workers:  platform.NewWorkerClient(),
 		peerHTTP: platform.NewHTTPClient(peerIdleConns),
-		members:  map[election.Member]memberState{},
+		members:  map[election.Member]memberState{}, largestCores: defaultLargestCores,
 	}
 	p.follower = &operator.Follower{Store: p.store, Clock: clock, Log: log, OnChange: p.applyOperatorChange}
 	p.elector = &election.Elector{Store: p.store, Member: election.NewMember(s.PeerAddress, clock.Now()), Clock: clock, Log: log, OnChange: p.onOwnershipChange}
-	p.elector.SetCandidacyDelay(candidacyDelayOf(s.Cores, defaultLargestCores))
+	p.elector.SetCandidacyDelay(candidacyDelayOf(election.Cores(s.Cores), defaultLargestCores))
 	p.handler = &ingress.Handler{Config: p.follower.Config, Forwarder: p, Clock: clock, Log: log}
 	return p
 }
--- a/process/reload.go
+++ b/process/reload.go
@@ -5,6 +5,7 @@
 	"os"
 	"time"
 
+	"hibiscuslane.example/hibiscuslane/election"
 	"hibiscuslane.example/hibiscuslane/settings"
 )
 
@@ -55,7 +56,7 @@
 	if next == old {
 		return
 	}
-	p.elector.SetCandidacyDelay(candidacyDelayOf(next.Cores, max(next.Cores, defaultLargestCores)))
+	p.elector.SetCandidacyDelay(candidacyDelayOf(p.currentCores(), max(election.Cores(next.Cores), defaultLargestCores)))
 	if d := p.dispatcher(); d != nil {
 		d.SetTiming(newDispatchTiming(next.Timings))
 	}
