dispatch, process: pace renewals by their present cost, show the margin of leases, fewer heartbeats of small instances

A renewal takes about a third of the processor time of before, so the pause after one that reported an end follows renewalCPUTime of 120 microseconds and at most 35 % of the processor; workers that only run long-running tasks no longer count.

Instances that are smaller than the largest one send heartbeats every 0.7 s instead of 0.35 s: 147 entries sent 420 a second to one process. What was left of a lease when it was renewed is a gauge (lease_margin), and a log line below 1 s (lease.late).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -124,6 +124,7 @@
 	counters          Counters
 	// timeoutsCheckedAt and slowCheckAt are when checkTimeouts last made its checks and the slow ones among them.
 	timeoutsCheckedAt, slowCheckAt time.Time
+	leaseMargins                   leaseMargins
 	// unsettledWorkers is the number of registered workers that have neither answered nor failed to, and hasWaitingTasks is
 	// set if tasks waited, both as of the last check.
 	unsettledWorkers int
@@ -132,7 +133,7 @@
 	hasCrashSuspects bool
 	// inheritedRuns holds the runs of earlier owners by machine.
 	inheritedRuns map[worker.MachineID][]*run
-	// busyWorkers is the number of workers with at least one run.
+	// busyWorkers is the number of workers with at least one run that is not long-running, as of the last check.
 	busyWorkers int
 	// draining is set once no new jobs and tasks are taken.
 	draining bool
@@ -140,7 +141,9 @@
 
 // Counters holds the current number of jobs, runs and workers, and counts events since the term began.
 type Counters struct {
-	OpenJobs, ActiveRuns, KnownWorkers, ReachableWorkers                                                                                int64
+	OpenJobs, ActiveRuns, KnownWorkers, ReachableWorkers int64
+	// LeaseMargin is the smallest rest of a lease at its renewal in the last seconds.
+	LeaseMargin                                                                                                                         time.Duration
 	AcceptedJobs, StartedRuns, SucceededRuns, FailedRuns, LostRuns, UnconfirmedStarts, RefusedStarts, MachineMoves, MachineMaintenances int64
 }
 
@@ -149,6 +152,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	c := d.counters
+	c.LeaseMargin = d.leaseMargins.smallest()
 	c.OpenJobs, c.ActiveRuns, c.KnownWorkers = int64(len(d.openJobs)), int64(len(d.runs)), int64(len(d.workers))
 	for _, s := range d.workers {
 		if s.tokenAcknowledged && s.unreachableSince.IsZero() {
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -140,7 +140,7 @@
 		if !s.tokenAcknowledged && s.unreachableSince.IsZero() {
 			d.unsettledWorkers++
 		}
-		if len(s.runs) > 0 {
+		if len(s.runs) > s.longRunningRuns {
 			d.busyWorkers++
 		}
 		if !s.unreachableSince.IsZero() && len(s.runs) > 0 && d.hasLeaseExpired(s, now) {
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -27,8 +27,8 @@
 	// maxRenewalCPUShare of the available processor time. Each renewal takes renewalCPUTime of a core, as
 	// seen at a thousand renewals per second.
 	minRenewalPause    = 25 * time.Millisecond
-	renewalCPUTime     = 330 * time.Microsecond
-	maxRenewalCPUShare = 0.66
+	renewalCPUTime     = 120 * time.Microsecond
+	maxRenewalCPUShare = 0.35
 	// runListInterval is the time between two reports that list all runs of a worker, as long as the state
 	// of all its runs is known.
 	runListInterval = time.Second
@@ -37,7 +37,7 @@
 	// renewalRetryDelay is the pause after a renewal that failed.
 	renewalRetryDelay = 100 * time.Millisecond
 	// maxQueuedOrders limits the number of orders queued for one worker.
-	maxQueuedOrders = 4096
+	maxQueuedOrders = 256
 	// suspectDuration is how long a worker is chosen last after it refused a task or did not answer the
 	// order to start one.
 	suspectDuration = 2 * time.Second
@@ -57,8 +57,9 @@
 	rack         string
 	lease        worker.Lease
 	runs         map[runID]*run
-	// latencySensitiveRuns and bestEffortRuns are the numbers of runs with a latency target and of best-effort runs.
-	latencySensitiveRuns, bestEffortRuns int
+	// longRunningRuns, latencySensitiveRuns and bestEffortRuns are the numbers of long-running runs, of those with a latency
+	// target and of best-effort ones.
+	longRunningRuns, latencySensitiveRuns, bestEffortRuns int
 	// candidate describes the worker in the current plan.
 	candidate schedule.Worker
 	// reserved is the capacity reserved for runs. It includes runs whose start is not confirmed and runs
@@ -163,6 +164,9 @@
 
 // countRun adds change to the numbers of runs of the kind of a run.
 func (s *workerState) countRun(r *run, change int) {
+	if r.step.LongRunning {
+		s.longRunningRuns += change
+	}
 	if r.step.LatencyTarget > 0 {
 		s.latencySensitiveRuns += change
 	}
@@ -234,6 +238,9 @@
 	renewal.MaxWait = maxReportDelay
 	// The lease of an unreachable worker is not extended, so that it expires.
 	if s.unreachableSince.IsZero() {
+		if margin := s.lease.Remaining(now); d.leaseMargins.add(margin, now) {
+			d.log.Info(eventRenewalLate, "worker", s.id, "margin", margin, "runs", len(s.runs))
+		}
 		renewal.LeaseDeadline = s.lease.Grant(now, min(leaseDuration, d.timing.MaxLease))
 	}
 	if s.hasMixedTasks() {
--- a/process/cluster_test.go
+++ b/process/cluster_test.go
@@ -109,17 +109,23 @@
 // startWithStore starts an entry that uses the store at the given address, and waits until it is ready.
 func (c *cluster) startWithStore(id, storeAddress string) *entry {
 	c.t.Helper()
-	e := &entry{settings: settings.Deployment{
+	e := &entry{settings: c.newSettings(id, storeAddress)}
+	c.run(e)
+	require.Eventually(c.t, func() bool { return c.isReady(e) }, waitTimeout, pollInterval, "entry %s is not ready", id)
+	return e
+}
+
+// newSettings returns the settings of an entry that uses the store at the given address.
+func (c *cluster) newSettings(id, storeAddress string) settings.Deployment {
+	c.t.Helper()
+	return settings.Deployment{
 		ID: instance.ID(id), Centre: "z1", CallerAddress: freeAddress(c.t), ReadinessAddress: freeAddress(c.t), PeerAddress: freeAddress(c.t),
 		StoreAddress: instance.Address(storeAddress), FleetAddress: instance.Address(c.FleetAddress), Cores: 1,
 		Timings: settings.Timings{
 			StopGracePeriod: 5 * time.Second, MaxLease: 6 * time.Second,
 			StatusRetention: time.Minute, HolderChangeInterval: handoverInterval, MoveDuration: 150 * time.Millisecond, MaintenanceDuration: 150 * time.Millisecond,
 		},
-	}}
-	c.run(e)
-	require.Eventually(c.t, func() bool { return c.isReady(e) }, waitTimeout, pollInterval, "entry %s is not ready", id)
-	return e
+	}
 }
 
 // run starts an entry and does not wait until it is ready.
--- a/process/load_test.go
+++ b/process/load_test.go
@@ -1,20 +1,72 @@
 package process_test
 
 import (
+	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"runtime/pprof"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"hibiscuslane.example/hibiscuslane/event"
+	"hibiscuslane.example/hibiscuslane/process"
+	"hibiscuslane.example/hibiscuslane/relay"
+	"hibiscuslane.example/hibiscuslane/settings"
 	"hibiscuslane.example/hibiscuslane/standin/fabric"
+	"hibiscuslane.example/hibiscuslane/timer"
 )
 
-// BenchmarkBurst measures an owner with 280 and with 1,100 workers in four pools while jobs of 13 tasks of 0.8 s and 2.2
-// cores each arrive at two of the pools, 150 jobs a second, as in the peaks of the largest deployment. Jobs that the
-// owner does not accept at once are not repeated.
+// ownerSettingsVariable names the environment variable with the settings of an entry that TestMain runs instead of the
+// tests, and ownerProfileVariable that with the file for its processor profile.
+const (
+	ownerSettingsVariable = "HIBISCUSLANE_TEST_OWNER"
+	ownerProfileVariable  = "HIBISCUSLANE_TEST_PROFILE"
+)
+
+// TestMain runs the tests or, in a process that BenchmarkBurst has started, an entry.
+func TestMain(m *testing.M) {
+	if text := os.Getenv(ownerSettingsVariable); text != "" {
+		os.Exit(runOwner(text))
+	}
+	os.Exit(m.Run())
+}
+
+func runOwner(text string) int {
+	var s settings.Deployment
+	if err := json.Unmarshal([]byte(text), &s); err != nil {
+		return 1
+	}
+	if path := os.Getenv(ownerProfileVariable); path != "" {
+		file, err := os.Create(filepath.Clean(path))
+		if err != nil || pprof.StartCPUProfile(file) != nil {
+			return 1
+		}
+		defer pprof.StopCPUProfile()
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	lines := event.NewAsyncWriter(os.Stdout)
+	defer lines.Close()
+	if process.New(s, &timer.Service{}, event.NewLog(lines, "test", "info", event.FormatJSON)).Run(ctx) != nil {
+		return 1
+	}
+	return 0
+}
+
+// BenchmarkBurst measures an owner in a process of its own, with 280 and with 1,100 workers in four pools and 147 other
+// entries that send heartbeats, while jobs of 13 tasks of 0.8 s and 2.2 cores each arrive at two of the pools, 150 jobs a
+// second, as in the peaks of the largest deployment. Callers ask for the state of each job until it is done. Jobs that
+// the owner does not accept at once are not repeated. With HIBISCUSLANE_TEST_PROFILE set, the owner writes a processor
+// profile to that file.
 func BenchmarkBurst(b *testing.B) {
 	for _, workers := range []int{280, 1100} {
 		b.Run(fmt.Sprintf("workers=%d", workers), func(b *testing.B) { benchmarkBurst(b, workers) })
@@ -22,38 +74,73 @@
 }
 
 func benchmarkBurst(b *testing.B, workers int) {
-	const jobs, interval = 750, time.Second / 150
+	const (
+		jobs, tasks = 750, 13
+		interval    = time.Second / 150
+		statePeriod = 400 * time.Millisecond
+	)
 	c := newCluster(b)
 	pools := []string{"desk", "gate", "walk", "rota"}
 	c.PublishConfig(1, pools, "")
 	for n := range workers {
 		c.AddMachine(pools[n%len(pools)], cores16, false)
 	}
-	e := c.start("entry-1")
+	e := &entry{settings: c.newSettings("entry-1", c.StoreAddress)}
+	owner := startOwnerProcess(b, e.settings)
+	require.Eventually(b, func() bool { return c.isReady(e) }, waitTimeout, pollInterval)
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	sendHeartbeats(ctx, e, 147)
 	time.Sleep(time.Second)
 	b.ResetTimer()
 	for range b.N {
 		begin := time.Now()
-		var accepted sync.Map
-		var submissions sync.WaitGroup
+		var callers sync.WaitGroup
 		for n := range jobs {
-			submissions.Go(func() {
-				status, _ := c.call(e, http.MethodPost, "/"+pools[n%2]+"/"+fabric.JobID(n), fabric.JobBody(2200, 800, 8, 5))
-				if status == http.StatusOK {
-					accepted.Store(n, true)
+			callers.Go(func() {
+				path := "/" + pools[n%2] + "/" + fabric.JobID(n)
+				if status, _ := c.call(e, http.MethodPost, path, fabric.JobBody(2200, 800, 8, 5)); status != http.StatusOK {
+					b.Errorf("job %d: status %d", n, status)
+					return
+				}
+				for c.state(e, pools[n%2], fabric.JobID(n)) != fabric.JobCompleted {
+					time.Sleep(statePeriod)
 				}
 			})
 			time.Sleep(time.Until(begin.Add(time.Duration(n) * interval)))
 		}
-		submissions.Wait()
-		count := 0
-		accepted.Range(func(n, _ any) bool {
-			count++
-			pool := pools[n.(int)%2]
-			require.Eventually(b, func() bool { return c.state(e, pool, fabric.JobID(n.(int))) == fabric.JobCompleted }, waitTimeout, pollInterval)
-			return true
-		})
-		b.ReportMetric(float64(count*13)/time.Since(begin).Seconds(), "tasks/s")
-		b.ReportMetric(float64(count), "accepted")
+		callers.Wait()
+		b.ReportMetric(float64(jobs*tasks)/time.Since(begin).Seconds(), "tasks/s")
+	}
+	cancel()
+	require.NoError(b, owner.Process.Signal(syscall.SIGTERM))
+	require.NoError(b, owner.Wait())
+	used := owner.ProcessState.UserTime() + owner.ProcessState.SystemTime()
+	b.ReportMetric(float64(used.Microseconds())/float64(b.N*jobs*tasks), "cpu-us/task")
+}
+
+// startOwnerProcess starts an entry in a process with one processor.
+func startOwnerProcess(b *testing.B, s settings.Deployment) *exec.Cmd {
+	b.Helper()
+	text, err := json.Marshal(s)
+	require.NoError(b, err)
+	command := exec.CommandContext(b.Context(), os.Args[0])
+	command.Env = append(os.Environ(), ownerSettingsVariable+"="+string(text), "GOMAXPROCS=1")
+	require.NoError(b, command.Start())
+	return command
+}
+
+// sendHeartbeats sends the heartbeats of other entries to an owner until ctx ends.
+func sendHeartbeats(ctx context.Context, e *entry, entries int) {
+	const period = 350 * time.Millisecond
+	client := relay.NewRelayProtobufClient("http://"+string(e.settings.PeerAddress), &http.Client{})
+	for n := range entries {
+		go func() {
+			for ctx.Err() == nil {
+				// A heartbeat that fails is only one load less.
+				_, _ = client.Beat(ctx, &relay.Sign{Member: fmt.Sprintf("127.0.0.1:%d/x", n+1), Cores: 200})
+				time.Sleep(period)
+			}
+		}()
 	}
 }
--- a/process/peers.go
+++ b/process/peers.go
@@ -18,6 +18,11 @@
 const (
 	// heartbeatPeriod is the interval between heartbeats to the owner.
 	heartbeatPeriod = 350 * time.Millisecond
+	// smallHeartbeatPeriod replaces heartbeatPeriod on instances that are smaller than the largest one. They replace an
+	// owner only if no larger instance does, and there are up to ten times as many of them.
+	smallHeartbeatPeriod = 700 * time.Millisecond
+	// smallInstanceRatio is the share of the cores of the largest member below which an instance is smaller.
+	smallInstanceRatio = 0.9
 	// heartbeatTimeout bounds one heartbeat. Peers usually answer within a few milliseconds, and a slow one
 	// within about ten.
 	heartbeatTimeout = 500 * time.Millisecond
@@ -54,6 +59,17 @@
 	return election.Cores(p.currentSettings().Cores / p.speed.Factor())
 }
 
+// heartbeatInterval returns the interval between the heartbeats of this process.
+func (p *Process) heartbeatInterval() time.Duration {
+	p.mu.Lock()
+	largest := p.largestCores
+	p.mu.Unlock()
+	if p.currentCores() < smallInstanceRatio*largest {
+		return smallHeartbeatPeriod
+	}
+	return heartbeatPeriod
+}
+
 // measureSpeed measures the speed of this process, unless it did so less than heartbeatPeriod ago, and applies it to the
 // candidacy delay. It returns the time of the latest measurement.
 func (p *Process) measureSpeed(measuredAt time.Time) time.Time {
@@ -227,7 +243,7 @@
 		measuredAt = p.measureSpeed(measuredAt)
 		owner := p.elector.Owner()
 		detector.SetOwner(owner, p.clock.Now())
-		pause = heartbeatPeriod
+		pause = p.heartbeatInterval()
 		if owner == "" {
 			pause = heartbeatRetryDelay // the first heartbeat follows as soon as an owner is known
 		}
--- a/process/process.go
+++ b/process/process.go
@@ -266,9 +266,10 @@
 	if d := p.dispatcher(); d != nil {
 		return d.IsLoaded()
 	}
+	maxSilence := election.HeartbeatTimeout + p.heartbeatInterval() - heartbeatPeriod
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return !p.ownerRespondedAt.IsZero() && p.clock.Since(p.ownerRespondedAt) < election.HeartbeatTimeout
+	return !p.ownerRespondedAt.IsZero() && p.clock.Since(p.ownerRespondedAt) < maxSilence
 }
 
 func (p *Process) peerHandler() http.Handler {
--- a/worker/lease.go
+++ b/worker/lease.go
@@ -39,6 +39,15 @@
 	return deadline
 }
 
+// Remaining returns how much of the lease is left on the worker's clock, if that runs at full speed: zero or less once it
+// has expired, and zero if the clock is not known.
+func (l *Lease) Remaining(now time.Time) time.Duration {
+	if !l.HasClock() {
+		return 0
+	}
+	return time.Duration(l.maxDeadline-l.lastClock)*time.Millisecond - now.Sub(l.receivedAt)
+}
+
 // IsExpired reports whether every granted deadline has certainly passed on the worker, even if its clock is slow. It
 // returns false while the worker's clock is not known.
 func (l *Lease) IsExpired(now time.Time) bool {
--- a/worker/lease_test.go
+++ b/worker/lease_test.go
@@ -44,3 +44,14 @@
 	var lease worker.Lease
 	require.False(t, lease.IsExpired(time.Now().Add(time.Hour)))
 }
+
+// TestLeaseMargin guards against a margin that counts the time since the last response twice or not at all.
+func TestLeaseMargin(t *testing.T) {
+	var lease worker.Lease
+	now := time.UnixMilli(1_000_000)
+	require.Zero(t, lease.Remaining(now))
+	lease.RecordClock(500, now)
+	lease.Grant(now.Add(time.Second), 3500*time.Millisecond)
+	require.Equal(t, 3500*time.Millisecond, lease.Remaining(now.Add(time.Second)))
+	require.Equal(t, -500*time.Millisecond, lease.Remaining(now.Add(5*time.Second)))
+}
