dispatch: a long-running job is given up only after two crashes with no other possible cause

The owner ended three sound tasks of one step at once: it had given their job up. One task had been on a worker that crashed with 15 possible causes, was then run apart, and the next worker crashed under it for a cause of its own 3.3 s later; the first crash counted as if the task had been alone as well. Jobs of long-running tasks have no limit of attempts, so only crashes in which no other task can have been the cause count now, two of them. Ruled out: an eviction or a maintenance (no such line), the change of owner.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -9,8 +9,9 @@
 
 const (
 	// maxLoneCrashes is the number of workers that may crash under a task before its job fails, if the last of them ran
-	// nothing else that may be the cause. maxCrashes is the number whatever else ran there, for tasks that end on their
-	// own: in its time, a long-running task runs beside many others that may crash its worker.
+	// nothing else that may be the cause. maxCrashes is the number whatever else ran there. A long-running task runs beside
+	// many others in its time, and its job has no limit of attempts, so that only crashes without any other task that may
+	// be the cause count against it.
 	maxLoneCrashes = 2
 	maxCrashes     = 3
 	// maxApartWait is how long a crash suspect waits for a worker without another one.
@@ -70,7 +71,14 @@
 		d.hasCrashSuspects = true
 		d.log.Info(eventCrashRecorded, "task", r.id.key.String(), "run", r.id.number, "worker", r.workerID, "machine", machine, "crashes", t.Crashes, "suspects", len(suspects))
 		d.markDirty(r.job)
-		isCause := len(suspects) == 1 && t.Crashes >= maxLoneCrashes || t.Crashes >= maxCrashes && !r.step.LongRunning
+		isAlone := len(suspects) == 1
+		if isAlone {
+			t.LoneCrashes++
+		}
+		isCause := isAlone && t.Crashes >= maxLoneCrashes || t.Crashes >= maxCrashes
+		if r.step.LongRunning {
+			isCause = t.LoneCrashes >= maxLoneCrashes
+		}
 		if r.job.Outcome == "" && isCause {
 			d.finishJob(r.job, task.StateFailed, now)
 			d.saveAndCloseIfEnded(r.job)
@@ -100,7 +108,7 @@
 // clearCrashes ends the suspicion against the task of a run that has worked for long enough.
 func (d *Dispatcher) clearCrashes(r *run, now time.Time) {
 	if t := r.task(); t.Crashes > 0 && r.isTrusted(now) {
-		t.Crashes = 0
+		t.Crashes, t.LoneCrashes = 0, 0
 		d.markDirty(r.job)
 	}
 }
--- a/dispatch/pending.go
+++ b/dispatch/pending.go
@@ -84,7 +84,7 @@
 				pending.CrashSuspects = map[int]bool{}
 			}
 			pending.CrashSuspects[i] = d.mustRunApart(t, now)
-			j.pendingKnown = false
+			j.pendingKnown, d.hasCrashSuspects = false, true
 		}
 		if len(t.FailedWorkers) > 0 {
 			if pending.FailedWorkers == nil {
--- a/task/job.go
+++ b/task/job.go
@@ -39,6 +39,8 @@
 	FailedRuns int
 	// Crashes counts the workers that have crashed under the task, for which it may be the cause.
 	Crashes int
+	// LoneCrashes counts those of them in which no other task can have been the cause.
+	LoneCrashes int
 	// LastRun is the highest run number that was ordered.
 	LastRun    RunNumber
 	Checkpoint Checkpoint
