dispatch: no order for a machine whose worker is silent or has ends that are not stored; late reports count

Traced: the owner had a machine maintained whose worker was silent, or had reported an end that was not stored when the term ended, or had not answered a start; the task had ended done there, and the next owner started it again. A machine is maintained or moved only when its worker has answered, is not silent, every end that it reported is stored and, for maintenance, no start or stop is unresolved (TestUnknownWorker, extended, fails before).

A response to a renewal that arrives more than 0.5 s late was dropped, although the ends that it lists count as known once sent: the margin is now four times the usual delay of responses, up to 1.5 s (TestLateReportDropped). Runs on registered workers that are silent are kept for 20 s after the lease instead of 6 s. The list of machines is read every 1.5 ms per machine instead of 0.5 ms: it took most of a link of 2 Mbit/s.

--- a/dispatch/balance.go
+++ b/dispatch/balance.go
@@ -195,7 +195,7 @@
 	if s != nil {
 		machine.Idle = len(s.runs) == 0
 		machine.IdleSince = s.idleSince
-		machine.Pinned = machine.Pinned || s.drainingForMaintenance || !s.unreachableSince.IsZero() || s.registration.State != worker.StateReady
+		machine.Pinned = machine.Pinned || s.drainingForMaintenance || !s.isSettled() || s.registration.State != worker.StateReady
 		for _, r := range s.runs {
 			if r.step.LongRunning {
 				b.LongRunningReserved += r.reservation.CPU
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/election"
@@ -95,6 +96,8 @@
 	// restored is closed once the stored jobs are loaded. A worker must not be called before: its runs would be taken for
 	// unknown ones and stopped.
 	restored chan struct{}
+	// responseDelay is the moving average of the delay of reports that were requested at once, in nanoseconds.
+	responseDelay atomic.Int64
 	// adviceRequests are the queued requests to the advice service.
 	adviceRequests chan adviceRequest
 
--- a/dispatch/expiry.go
+++ b/dispatch/expiry.go
@@ -9,7 +9,7 @@
 const (
 	// silentWorkerTimeout is how long runs on a registered worker that does not answer are kept after their lease can
 	// no longer be in force. The worker may only be slow, and hold the end of a run that was done before.
-	silentWorkerTimeout = 6 * time.Second
+	silentWorkerTimeout = 20 * time.Second
 	// relistingTime is how long the registration of a live worker may be missing after an outage of the store, because
 	// it has expired meanwhile.
 	relistingTime = 2 * time.Second
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -19,8 +19,8 @@
 	// second are enough; the platform allows 64 per second for all processes together.
 	machinePollInterval = 120 * time.Millisecond
 	// listTimePerMachine limits the reads of a long list of machines: the time between two of them is at least this
-	// long per machine. A read takes some 30 microseconds of a core for each.
-	listTimePerMachine = 500 * time.Microsecond
+	// long per machine. A read takes some 30 microseconds of a core and 200 bytes of the link for each.
+	listTimePerMachine = 1500 * time.Microsecond
 	// machineCallTimeout limits one call that concerns machines.
 	machineCallTimeout = 1500 * time.Millisecond
 	// minFullSpeedTime is how long a task must have been at full speed before another task of its step may
@@ -385,8 +385,8 @@
 	if p, ok := d.config.Pool(m.Pool); ok && p.Spare {
 		return machine // machines of the spare pool are switched off and run nothing
 	}
-	if s == nil || !s.tokenAcknowledged {
-		machine.Up = false // the runs on the machine are not known yet
+	if s == nil || !s.isSettled() || s.hasUnresolvedRuns() {
+		machine.Up = false // what runs or has ended on the machine is not known
 		return machine
 	}
 	for _, r := range s.runs {
--- a/dispatch/maintenance_test.go
+++ b/dispatch/maintenance_test.go
@@ -13,7 +13,8 @@
 )
 
 // TestUnknownWorker guards against maintenance of a machine that still runs tasks. A new owner must not take
-// a machine for idle while it does not know the machine's worker or has no report from it.
+// a machine for idle while it does not know the machine's worker or has no report from it. A worker that has fallen silent
+// may have ended tasks since, and a later owner does not know of an end that is not stored; these tasks would run again.
 func TestUnknownWorker(t *testing.T) {
 	config := queue.New(1, nil, []queue.Pool{{Name: "desk"}, {Name: "spare", Spare: true}})
 	d := New(t.Context(), election.Gained{Epoch: 1}, Options{Clock: &timer.Service{}, Config: config})
@@ -22,6 +23,13 @@
 	require.False(t, d.waveMachine(w, machine, nil, nil, time.Now()).Up, "the worker is not known yet")
 	require.False(t, d.waveMachine(w, machine, &workerState{}, nil, time.Now()).Up, "the worker has not reported yet")
 	require.True(t, d.waveMachine(w, machine, &workerState{tokenAcknowledged: true}, nil, time.Now()).Up)
+	silent := &workerState{tokenAcknowledged: true, unreachableSince: time.Now()}
+	require.False(t, d.waveMachine(w, machine, silent, nil, time.Now()).Up, "the worker is silent")
+	unstored := &workerState{tokenAcknowledged: true, reportedEnd: 2, storedEnd: 1}
+	require.False(t, d.waveMachine(w, machine, unstored, nil, time.Now()).Up, "an end is not stored yet")
+	uncertain := &run{phase: phaseUnconfirmed}
+	doubtful := &workerState{tokenAcknowledged: true, runs: map[runID]*run{uncertain.id: uncertain}}
+	require.False(t, d.waveMachine(w, machine, doubtful, nil, time.Now()).Up, "a start was not answered")
 	machine.Pool = "spare"
 	require.True(t, d.waveMachine(w, machine, nil, nil, time.Now()).Up, "a machine that is switched off runs nothing")
 }
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -20,8 +20,14 @@
 	// maxReportDelay is how long a worker may hold a renewal request before it answers. It leaves time for
 	// two more renewals before the lease expires.
 	maxReportDelay = 900 * time.Millisecond
-	// renewalTimeoutMargin is added to the requested report delay; after that a renewal has timed out.
-	renewalTimeoutMargin = 500 * time.Millisecond
+	// minRenewalMargin and maxRenewalMargin bound what is added to the requested report delay; after that a renewal has timed
+	// out. The margin is renewalMarginFactor times the usual delay of responses: an owner that is overloaded gets them
+	// late, and must not drop reports of ends that count as known once they were sent.
+	minRenewalMargin    = 500 * time.Millisecond
+	maxRenewalMargin    = 1500 * time.Millisecond
+	renewalMarginFactor = 4
+	// responseDelaySmoothing is the weight of a response in the moving average of their delay.
+	responseDelaySmoothing = 0.02
 	// minRenewalPause is the pause after a renewal that reported an end, so that the next report contains
 	// several ends. renewalPause lengthens it with the number of busy workers, so that renewals use at most
 	// maxRenewalCPUShare of the available processor time. Each renewal takes renewalCPUTime of a core, as
@@ -100,6 +106,12 @@
 // placed.
 func (s *workerState) isOverCapacity() bool { return !s.registration.Capacity.CanFit(s.reserved) }
 
+// isSettled reports whether the worker has answered in this term, is not silent, and every end that it has reported is
+// stored. Otherwise an order for its machine may lose ends that no later owner knows of, and their tasks run again.
+func (s *workerState) isSettled() bool {
+	return s.tokenAcknowledged && s.unreachableSince.IsZero() && s.storedEnd == s.reportedEnd
+}
+
 // requestRenewal triggers a renewal without delay.
 func (s *workerState) requestRenewal() {
 	select {
@@ -283,7 +295,8 @@
 
 // renewLease sends one renewal, processes the report, and returns the pause before the next renewal.
 func (d *Dispatcher) renewLease(ctx context.Context, s *workerState, renewal platform.Renewal) time.Duration {
-	callCtx, cancel := d.clock.WithTimeout(ctx, renewal.MaxWait+renewalTimeoutMargin)
+	margin := renewalMargin(time.Duration(d.responseDelay.Load()))
+	callCtx, cancel := d.clock.WithTimeout(ctx, renewal.MaxWait+margin)
 	defer cancel()
 	sent := d.clock.Now()
 	report, err := s.client.RenewLease(callCtx, renewal)
@@ -298,6 +311,10 @@
 	}
 	s.lease.RecordClock(report.Clock, now)
 	s.ackedEnd = max(s.ackedEnd, renewal.LastSeenEnd)
+	if renewal.MaxWait == 0 {
+		usual := d.responseDelay.Load()
+		d.responseDelay.Store(usual + int64(responseDelaySmoothing*float64(int64(now.Sub(sent))-usual)))
+	}
 	if !s.unreachableSince.IsZero() {
 		d.log.Info(eventWorkerRecovered, "worker", s.id, "silent", now.Sub(s.unreachableSince))
 	}
@@ -315,6 +332,11 @@
 	return 0
 }
 
+// renewalMargin returns how much later than requested a report may arrive, given the usual delay of responses.
+func renewalMargin(usualDelay time.Duration) time.Duration {
+	return min(max(renewalMarginFactor*usualDelay, minRenewalMargin), maxRenewalMargin)
+}
+
 // renewalPause returns the pause after a renewal that reported an end or was to be answered at once. It
 // depends on the number of busy workers and the owner's processor cores. In a burst of short tasks, capacity
 // is released only when an end is seen, so a pause that is longer than the processor requires lowers the
--- a/dispatch/worker_state_test.go
+++ b/dispatch/worker_state_test.go
@@ -19,3 +19,13 @@
 		require.LessOrEqual(t, renewals*renewalCPUTime.Seconds(), maxRenewalCPUShare*cores, "cores %v", cores)
 	}
 }
+
+// TestLateReportDropped guards against reports of an overloaded owner's workers that are dropped because they arrive after a
+// fixed time: the ends that they list count as known, and the tasks run again. It also guards against workers that are
+// found silent late by an owner with a usual load.
+func TestLateReportDropped(t *testing.T) {
+	require.Equal(t, minRenewalMargin, renewalMargin(0))
+	require.Equal(t, minRenewalMargin, renewalMargin(5*time.Millisecond))
+	require.Greater(t, renewalMargin(300*time.Millisecond), time.Second)
+	require.Less(t, maxReportDelay+renewalMargin(time.Minute), leaseDuration, "one late report must not cost the lease")
+}
