dispatch, election: an owner that wakes after a pause gives no order before its term is confirmed

A later owner counts on the end of a term 4 s after the store last confirmed it, and gives inherited runs up one lease after that. The owner itself noticed the end of its term in a loop of its own: woken after a pause, it could send a queued start, extend a lease or order a machine before that loop ran. Each of the three now checks that the store has confirmed the term less than 4 s ago.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -199,12 +199,18 @@
 }
 
 // Ownership is the owner's lease on which the term depends. The dispatcher uses it to record a new
-// partition of the ledger and to report confirmed appends.
+// partition of the ledger, to report confirmed appends and to check the lease before each order.
 type Ownership interface {
 	PublishPartition(ctx context.Context, epoch platform.Epoch, partition int) error
 	RecordConfirmation(sent time.Time)
+	// IsConfirmed reports whether the store has confirmed the term recently enough that no later owner counts on its end
+	// yet. It turns false while the process is paused, before the term ends.
+	IsConfirmed() bool
 }
 
+// mayOrder reports whether this owner may still start tasks, extend leases and give orders for machines.
+func (d *Dispatcher) mayOrder() bool { return d.ownership == nil || d.ownership.IsConfirmed() }
+
 // Options holds the dependencies and settings of a Dispatcher.
 type Options struct {
 	Store     *platform.Store
--- a/dispatch/machine_order.go
+++ b/dispatch/machine_order.go
@@ -128,6 +128,12 @@
 			r.lastOrderAt = d.clock.Now()
 		}
 		d.mu.Unlock()
+		if !d.mayOrder() {
+			if d.clock.Sleep(d.ctx, machinePollInterval) != nil {
+				return
+			}
+			continue
+		}
 		callCtx, cancel := d.clock.WithTimeout(d.ctx, machineCallTimeout)
 		err := send(callCtx)
 		cancel()
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -106,7 +106,7 @@
 func (d *Dispatcher) sendStart(ctx context.Context, r *run) {
 	d.mu.Lock()
 	s := r.worker
-	if d.runs[r.id] != r || r.phase != phasePlanned || s == nil || r.job.Outcome != "" || ctx.Err() != nil || !d.canTakeTasks(s) || s.isOverCapacity() {
+	if d.runs[r.id] != r || r.phase != phasePlanned || s == nil || r.job.Outcome != "" || ctx.Err() != nil || !d.mayOrder() || !d.canTakeTasks(s) || s.isOverCapacity() {
 		d.removeRun(r)
 		d.mu.Unlock()
 		return
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -240,21 +240,15 @@
 	renewal := platform.Renewal{FencingToken: worker.FencingToken(d.epoch), LastSeenEnd: s.storedEnd}
 	switch {
 	case !s.tokenAcknowledged || s.incarnation == 0:
-		if len(s.runs) > 0 && s.lease.HasClock() && s.unreachableSince.IsZero() {
-			renewal.LeaseDeadline = s.lease.Grant(now, leaseDuration)
+		if len(s.runs) > 0 && s.lease.HasClock() {
+			renewal.LeaseDeadline = d.extendLease(s, now)
 		}
 		return renewal, true
 	case len(s.runs) == 0 && s.orphanedRuns == 0:
 		return renewal, s.storedEnd > s.ackedEnd
 	}
 	renewal.MaxWait = maxReportDelay
-	// The lease of an unreachable worker is not extended, so that it expires.
-	if s.unreachableSince.IsZero() {
-		if margin := s.lease.Remaining(now); d.leaseMargins.add(margin, now) {
-			d.log.Info(eventRenewalLate, "worker", s.id, "margin", margin, "runs", len(s.runs))
-		}
-		renewal.LeaseDeadline = s.lease.Grant(now, min(leaseDuration, d.timing.MaxLease))
-	}
+	renewal.LeaseDeadline = d.extendLease(s, now)
 	if s.hasMixedTasks() {
 		renewal.MaxWait = maxReportDelayMixed
 	}
@@ -265,6 +259,18 @@
 	return renewal, true
 }
 
+// extendLease returns the new end of a worker's lease, or zero if the lease must not be extended: that of an unreachable
+// worker is to expire, and a later owner may count on the leases of a term that is not confirmed any more.
+func (d *Dispatcher) extendLease(s *workerState, now time.Time) worker.Clock {
+	if !s.unreachableSince.IsZero() || !d.mayOrder() {
+		return 0
+	}
+	if margin := s.lease.Remaining(now); d.leaseMargins.add(margin, now) {
+		d.log.Info(eventRenewalLate, "worker", s.id, "margin", margin, "runs", len(s.runs))
+	}
+	return s.lease.Grant(now, min(leaseDuration, d.timing.MaxLease))
+}
+
 // canSkipRunList reports whether the next report need not list the runs: all runs are known to be running,
 // the long-running ones at full speed, and no speed has to be adjusted.
 func (s *workerState) canSkipRunList() bool {
--- a/election/election.go
+++ b/election/election.go
@@ -223,6 +223,11 @@
 	return e.Clock.Since(e.confirmedAt)
 }
 
+// IsConfirmed reports whether the store has answered a call that was sent less than ConfirmTimeout ago. A later owner
+// waits for that long before it counts on the end of this process's term, so that an owner whose term is not confirmed
+// must not give orders. After a pause of the process this is known before the loss of the term is.
+func (e *Elector) IsConfirmed() bool { return e.StoreSilence() < ConfirmTimeout }
+
 // Run takes part in elections until ctx ends, and then gives up ownership.
 func (e *Elector) Run(ctx context.Context) {
 	for {
