process: a configuration that any member sends is put in force

The store had refused that entry since 2.5 s, and the owners fell silent in turn from 11.6 to 18.8 s, so that neither sent it the version. It asked other members about the owner in that time and ignored the configuration in their responses. TestConfigurationFromMember fails on the code of before.

--- a/process/peers.go
+++ b/process/peers.go
@@ -286,16 +286,24 @@
 	return election.ResponseOwner
 }
 
+// sendHeartbeat sends a heartbeat to the owner, or to another member to learn whether it reaches the owner, and applies the
+// configuration in the response: while neither the store nor the owner answers, other members may have a newer one.
 func (p *Process) sendHeartbeat(ctx context.Context, member election.Member, timeout time.Duration) (*relay.Notice, error) {
 	callCtx, cancel := p.clock.WithTimeout(ctx, timeout)
 	defer cancel()
 	_, offset := p.follower.Document()
-	return p.relayClient(member).Beat(callCtx, &relay.Sign{Member: string(p.elector.Member), Config: int64(offset), Store: p.hasReachedStore(), Cores: int64(millicoresPerCore * p.currentCores())})
+	response, err := p.relayClient(member).Beat(callCtx, &relay.Sign{Member: string(p.elector.Member), Config: int64(offset), Store: p.hasReachedStore(), Cores: int64(millicoresPerCore * p.currentCores())})
+	if err != nil {
+		return nil, err
+	}
+	if len(response.Document) > 0 && p.follower.ApplyConfig(response.Document, platform.Offset(response.Config)) {
+		p.applyOperatorChange()
+	}
+	return response, nil
 }
 
-// recordOwnerResponse records that the owner has answered a heartbeat, and applies what it reports: the voters, the
-// cores of the largest member and a newer configuration. If the owner asks for it, this process tries to reach the
-// store.
+// recordOwnerResponse records that the owner has answered a heartbeat, and applies what it reports: the voters and the
+// cores of the largest member. If the owner asks for it, this process tries to reach the store.
 func (p *Process) recordOwnerResponse(ctx context.Context, response *relay.Notice) {
 	p.mu.Lock()
 	p.ownerRespondedAt = p.clock.Now()
@@ -309,9 +317,6 @@
 		p.storeReachedAt = p.clock.Now()
 		p.mu.Unlock()
 	}
-	if len(response.Document) > 0 && p.follower.ApplyConfig(response.Document, platform.Offset(response.Config)) {
-		p.applyOperatorChange()
-	}
 }
 
 // hasReachedStore reports whether this process has recently reached the store after the owner had asked it to
--- /dev/null
+++ b/process/peers_test.go
@@ -0,0 +1,33 @@
+package process
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/election"
+	"hibiscuslane.example/hibiscuslane/event"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/settings"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+// TestConfigurationFromMember guards against an entry that serves an old configuration while the store refuses it and the
+// owner does not answer, although the members that it asks about the owner have the new one.
+func TestConfigurationFromMember(t *testing.T) {
+	clock := &timer.Service{}
+	informed := New(settings.Deployment{ID: "entry-1", Cores: 1}, clock, event.Log{})
+	document := []byte(`{"version":2,"routes":[{"name":"r","host":"h","path_prefix":"/p/","service":"s"}],"services":[{"name":"s"}]}`)
+	require.True(t, informed.follower.ApplyConfig(document, 7))
+	server := httptest.NewServer(informed.peerHandler())
+	defer server.Close()
+	member := election.NewMember(instance.Address(server.Listener.Addr().String()), clock.Now())
+
+	stale := New(settings.Deployment{ID: "entry-2", Cores: 1}, clock, event.Log{})
+	stale.voters = []string{string(member)}
+	stale.collectVotes(t.Context(), election.NewMember("127.0.0.1:1", time.Now()))
+	require.NotNil(t, stale.follower.Config())
+	require.EqualValues(t, 2, stale.follower.Config().Version)
+}
