dispatch, worker: a lease that was never granted is not logged as renewed late

Found in the last read of the diff: after a change of owner the first renewal of each worker with runs counted as late, in the log and in the gauge lease_margin.

--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -265,7 +265,7 @@
 	if !s.unreachableSince.IsZero() || !d.mayOrder() {
 		return 0
 	}
-	if margin := s.lease.Remaining(now); d.leaseMargins.add(margin, now) {
+	if margin := s.lease.Remaining(now); s.lease.IsGranted() && d.leaseMargins.add(margin, now) {
 		d.log.Info(eventRenewalLate, "worker", s.id, "margin", margin, "runs", len(s.runs))
 	}
 	return s.lease.Grant(now, min(leaseDuration, d.timing.MaxLease))
--- a/worker/lease.go
+++ b/worker/lease.go
@@ -39,6 +39,9 @@
 	return deadline
 }
 
+// IsGranted reports whether any order with a deadline was sent.
+func (l *Lease) IsGranted() bool { return l.maxDeadline > 0 }
+
 // Remaining returns how much of the lease is left on the worker's clock, if that runs at full speed: zero or less once it
 // has expired, and zero if the clock is not known.
 func (l *Lease) Remaining(now time.Time) time.Duration {
--- a/worker/lease_test.go
+++ b/worker/lease_test.go
@@ -50,6 +50,7 @@
 	var lease worker.Lease
 	now := time.UnixMilli(1_000_000)
 	require.Zero(t, lease.Remaining(now))
+	require.False(t, lease.IsGranted(), "a lease that was never granted is not late")
 	lease.RecordClock(500, now)
 	lease.Grant(now.Add(time.Second), 3500*time.Millisecond)
 	require.Equal(t, 3500*time.Millisecond, lease.Remaining(now.Add(time.Second)))
