--- a/review/standin/world.go
+++ b/review/standin/world.go
@@ -76,7 +76,7 @@
 	noted, lapsed map[string]bool
 	// calmSince is when the last disruption by the script ended.
 	calmSince time.Time
-	// checks selects the rule under test.
+	// rule is the name of the rule under test.
 	rule string
 }
 
