election, ledger: a stopping owner's ledger follows its move, and writes nothing more after a move with an unknown result

Cause: a process that stops gives up its term first and then stores its last writes for up to 0.6 s. If the ledger moves meanwhile, the claim that names the new partition is stored, but PublishPartition found the term ended and reported an error. The ledger took that for a move that had not happened, went on in the old partition and confirmed writes there, which no later owner reads. Evidence: the script's record has the claim of the stopping process with the new partition, followed by appends to the old one.

If it fails, the claim may still be stored; the ledger now ends instead of going on in the old partition.

TestStoppedOwnerMoves and TestLatePublication (election) failed before: "the claim is stored" and a third claim. TestMoveRefused (ledger) expected the ledger to go on in its old partition after a failed publication, which is this fault. It now requires more: the ledger ends, nothing is confirmed and nothing is written to any partition. It failed before.

--- a/election/election_test.go
+++ b/election/election_test.go
@@ -276,3 +276,47 @@
 	require.ErrorAs(t, a.PublishPartition(t.Context(), 1, 4), &ended)
 	require.Zero(t, a.epoch())
 }
+
+// TestStoppedOwnerMoves guards against a ledger that stays in its partition although later owners open another one: a
+// process that stops gives up its term first, and its ledger may move while the last writes are stored.
+func TestStoppedOwnerMoves(t *testing.T) {
+	clock := timer.NewManual(time.UnixMilli(0))
+	s := &store{}
+	var moved error
+	a := &testElector{}
+	a.Elector = &election.Elector{Store: s, Member: "a:1/x", Clock: &clock.Service, OnChange: func(c election.Change) {
+		if _, lost := c.(election.Lost); lost {
+			moved = a.PublishPartition(t.Context(), 1, 5)
+		}
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.changes = append(a.changes, c)
+	}}
+	ctx, cancel := context.WithCancel(t.Context())
+	var done sync.WaitGroup
+	done.Go(func() { a.Run(ctx) })
+	advanceUntil(t, clock, "not owner", func() bool { return a.epoch() != 0 })
+	cancel()
+	done.Wait()
+	require.NoError(t, moved, "the claim is stored")
+	b := startElector(t, s, clock, "b:1/x")
+	advanceUntil(t, clock, "no new owner", func() bool { return b.epoch() != 0 })
+	require.Equal(t, election.Gained{Epoch: 4, Departure: election.DepartureNone, Partition: 5}, b.changes[0])
+}
+
+// TestLatePublication guards against a move of an earlier term that replaces the ledger of the current term of the same
+// process by its old snapshot.
+func TestLatePublication(t *testing.T) {
+	clock := timer.NewManual(time.UnixMilli(0))
+	s := &store{}
+	a := startElector(t, s, clock, "a:1/x")
+	advanceUntil(t, clock, "not owner", func() bool { return a.epoch() != 0 })
+	first := a.epoch()
+	a.Resign("test")
+	advanceUntil(t, clock, "not owner again", func() bool { return a.epoch() > first })
+	claims := len(s.claims)
+	var ended *election.TermEndedError
+	require.ErrorAs(t, a.PublishPartition(t.Context(), first, 5), &ended)
+	require.Len(t, s.claims, claims)
+	require.NotZero(t, a.epoch(), "the current term goes on")
+}
--- a/ledger/error.go
+++ b/ledger/error.go
@@ -12,6 +12,7 @@
 	eventAppendRetried     = event.Define(2600, "append.repeat", "an append failed; retrying")
 	eventMoved             = event.Define(2602, "ledger.moved", "the ledger has moved because its partition is unavailable")
 	eventMoveFailed        = event.Define(2603, "ledger.stays", "the ledger could not be moved to another partition")
+	eventMoveUncertain     = event.Define(2605, "ledger.uncertain", "it is not known whether later owners open the old partition of the ledger or the new one; the owner writes nothing more")
 	eventSequenceCorrected = event.Define(2601, "append.sequence", "the store expects a different sequence number")
 )
 
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -187,8 +187,8 @@
 	return len(l.pending) > 0 || !l.stalledSince.IsZero()
 }
 
-// Run appends writes until ctx ends or a later writer has taken over. It then fails all remaining writes and
-// returns the error.
+// Run appends writes until ctx ends, a later writer has taken over or the ledger no longer knows which partition
+// later owners open. It then fails all remaining writes and returns the error.
 func (l *Ledger) Run(ctx context.Context) error {
 	for {
 		select {
@@ -225,8 +225,9 @@
 	return batch
 }
 
-// appendBatch stores a batch. It retries until the batch is stored, a later writer has fenced this one or ctx
-// ends. While the store does not confirm the batch, it moves the ledger and withdraws optional writes.
+// appendBatch stores a batch. It retries until the batch is stored, a later writer has fenced this one, a move has
+// an unknown result or ctx ends. While the store does not confirm the batch, it moves the ledger and withdraws optional
+// writes.
 func (l *Ledger) appendBatch(ctx context.Context, batch []write) error {
 	records := recordsOf(batch)
 	if len(records) == 0 {
@@ -253,10 +254,16 @@
 			return err
 		}
 		l.log.Warn(eventAppendRetried, "try", attempt, "records", len(records), "error", err)
-		if l.StalledFor() > moveAfter && l.tryMove(ctx) {
-			l.sequence++
-			certainlyNotStored = true // appends to the old partition no longer matter
-			continue
+		if l.StalledFor() > moveAfter {
+			moved, err := l.tryMove(ctx)
+			if err != nil {
+				return err
+			}
+			if moved {
+				l.sequence++
+				certainlyNotStored = true // appends to the old partition no longer matter
+				continue
+			}
 		}
 		if l.StalledFor() > withdrawAfter {
 			if l.withdrawPending(); certainlyNotStored {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -173,13 +173,15 @@
 
 func (o *partitionOwner) RecordAppend(time.Time) {}
 
-func openMovable(t *testing.T, s *store, owner *partitionOwner) *ledger.Ledger {
+// openMovable opens a ledger that can move and runs it. The channel receives the error that Run returns.
+func openMovable(t *testing.T, s *store, owner *partitionOwner) (*ledger.Ledger, <-chan error) {
 	t.Helper()
 	l, _, err := ledger.Open(t.Context(), s, ledger.TopicJobs, 0, 1, &timer.Service{}, event.Log{})
 	require.NoError(t, err)
 	l.AllowMoves(owner)
-	go func() { _ = l.Run(t.Context()) }() // ends with the test
-	return l
+	ended := make(chan error, 1)
+	go func() { ended <- l.Run(t.Context()) }()
+	return l, ended
 }
 
 // writeAndWait writes a record, with TryWrite if optional is set, and returns the outcome.
@@ -207,7 +209,7 @@
 	leftover := platform.Record{Key: "left", Value: []byte("1")}
 	s := &store{up: true, unavailable: map[int]bool{}, byPartition: map[int][]platform.Record{2: {leftover}}}
 	owner := &partitionOwner{snapshot: []platform.Record{{Key: "old", Value: []byte("1")}}}
-	l := openMovable(t, s, owner)
+	l, _ := openMovable(t, s, owner)
 	require.NoError(t, writeAndWait(t, l, false, platform.Record{Key: "a", Value: []byte("1")}))
 	s.update(func(s *store) { s.unavailable = map[int]bool{0: true, 1: true} })
 	require.NoError(t, writeAndWait(t, l, true, platform.Record{Key: "b", Value: []byte("1")}))
@@ -220,16 +222,20 @@
 	require.Equal(t, 3, owner.partition, "the ledger must move again when its new partition is unavailable")
 }
 
-// TestMoveRefused guards against writes that are confirmed from a partition that later owners do not know of.
+// TestMoveRefused guards against writes that are confirmed from a partition that later owners do not open. A publication
+// that has failed may still take effect, so that the ledger must not go on in its old partition either.
 func TestMoveRefused(t *testing.T) {
 	s := &store{up: true, unavailable: map[int]bool{}}
 	owner := &partitionOwner{err: context.Canceled}
-	l := openMovable(t, s, owner)
+	l, ended := openMovable(t, s, owner)
 	s.update(func(s *store) { s.unavailable = map[int]bool{0: true} })
-	require.True(t, ledger.IsNotStored(writeAndWait(t, l, true, platform.Record{Key: "a", Value: []byte("1")})))
+	err := writeAndWait(t, l, true, platform.Record{Key: "a", Value: []byte("1")})
+	require.Error(t, err)
+	require.False(t, ledger.IsNotStored(err), "the write was sent")
+	require.ErrorIs(t, <-ended, context.Canceled)
 	s.update(func(s *store) { s.unavailable = nil })
-	require.NoError(t, writeAndWait(t, l, true, platform.Record{Key: "b", Value: []byte("1")}))
-	s.update(func(s *store) { require.Equal(t, []platform.Record{{Key: "b", Value: []byte("1")}}, s.byPartition[0]) })
+	require.True(t, ledger.IsNotStored(writeAndWait(t, l, true, platform.Record{Key: "b", Value: []byte("1")})))
+	s.update(func(s *store) { require.Empty(t, s.stored) })
 }
 
 // TestBacklogNeverStored guards against a backlog that is sent as one append, which takes longer than the timeout of an
--- a/ledger/move.go
+++ b/ledger/move.go
@@ -13,7 +13,7 @@
 	// Snapshot returns all records that must be kept, without those of a TryWrite that has no outcome yet.
 	Snapshot() []platform.Record
 	// PublishPartition makes the partition known to later owners. It returns nil only once that has taken
-	// effect, and an error only if it never will, the owner's term has ended or ctx has ended.
+	// effect. After an error it may still take effect, so that the ledger must not write to any partition.
 	PublishPartition(ctx context.Context, partition int) error
 	// RecordAppend is called after a successful append with the time at which it was sent. At that time no later
 	// owner had opened the ledger.
@@ -23,10 +23,10 @@
 // AllowMoves lets the ledger move between partitions. It must be called before Run.
 func (l *Ledger) AllowMoves(owner PartitionOwner) { l.partitionOwner = owner }
 
-// tryMove moves the ledger to another partition and reports whether it succeeded.
-func (l *Ledger) tryMove(ctx context.Context) bool {
+// tryMove moves the ledger to another partition and reports whether it succeeded. An error ends the ledger.
+func (l *Ledger) tryMove(ctx context.Context) (bool, error) {
 	if l.partitionOwner == nil {
-		return false
+		return false, nil
 	}
 	attempts := 0
 	for i := 1; i < Partitions && attempts < maxMoveAttempts; i++ {
@@ -42,26 +42,27 @@
 		}
 		l.log.Info(eventMoveFailed, "part", partition, "error", err)
 	}
-	return false
+	return false, nil
 }
 
 // moveTo moves the ledger to an available partition. The stale records are those of earlier use that the
-// partition still holds. It reports whether the move succeeded.
-func (l *Ledger) moveTo(ctx context.Context, destination *Ledger, stale []platform.Record) bool {
+// partition still holds. It reports whether the move succeeded; the ledger stays where it is if the snapshot cannot be
+// written. An error reports that later owners may open either partition.
+func (l *Ledger) moveTo(ctx context.Context, destination *Ledger, stale []platform.Record) (bool, error) {
 	began := l.clock.Now()
 	l.usedPartitions[destination.partition] = true
 	records := l.partitionOwner.Snapshot()
-	err := destination.writeSnapshot(ctx, records, stale)
-	if err == nil {
-		err = l.partitionOwner.PublishPartition(ctx, destination.partition)
-	}
-	if err != nil {
+	if err := destination.writeSnapshot(ctx, records, stale); err != nil {
 		l.log.Warn(eventMoveFailed, "part", destination.partition, "error", err)
-		return false
+		return false, nil
+	}
+	if err := l.partitionOwner.PublishPartition(ctx, destination.partition); err != nil {
+		l.log.Warn(eventMoveUncertain, "from", l.partition, "to", destination.partition, "error", err)
+		return false, err
 	}
 	l.log.Info(eventMoved, "from", l.partition, "to", destination.partition, "records", len(records), "stale", len(stale), "took", l.clock.Since(began))
 	l.partition, l.sequence = destination.partition, destination.sequence
-	return true
+	return true, nil
 }
 
 // writeSnapshot replaces the stale records of a partition by a snapshot.
