--- a/dispatch/persistence.go
+++ b/dispatch/persistence.go
@@ -24,8 +24,9 @@
 	// maxWriteBytes is the size at which no further job is added to a write of changed jobs. The ledger does not split
 	// a write.
 	maxWriteBytes = 32 << 10
-	// maxDropsPerWrite limits the number of ended jobs that one write deletes.
+	// maxDropsPerWrite limits the number of ended jobs that one write deletes, with recordsPerDrop records each.
 	maxDropsPerWrite = 200
+	recordsPerDrop   = 2
 )
 
 // markDirty schedules a write of the job's progress, unless the job was withdrawn. The callbacks are called
@@ -217,14 +218,17 @@
 	return append(records, platform.Record{Key: progressKeyPrefix + string(j.ID), Value: data}), true
 }
 
-// Snapshot returns the whole state for a new partition. It implements ledger.PartitionOwner.
+// Snapshot returns the whole state for a new partition. It implements ledger.PartitionOwner. Writes that the ledger has
+// not confirmed follow the snapshot and may hold an older state of a job. A job whose final state is not stored therefore
+// keeps its submission, without which a later owner could not read such a state.
 func (d *Dispatcher) Snapshot() []platform.Record {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var records []platform.Record
 	for _, j := range d.jobs {
 		if j.stored {
-			jobRecords, _ := d.encodeJob(j, j.Outcome == "") // encodeJob logs failures
+			isEnded := j.Outcome != "" && j.isDurable()
+			jobRecords, _ := d.encodeJob(j, !isEnded) // encodeJob logs failures
 			records = append(records, jobRecords...)
 		}
 	}
@@ -345,14 +349,15 @@
 	d.openJobs[i] = j
 }
 
-// dropEndedJobs deletes ended jobs whose state no longer has to be retained.
+// dropEndedJobs deletes ended jobs whose state no longer has to be retained. If the term of an owner ended while its
+// ledger moved, the submission of an ended job may still be stored, and the job would run again without its progress.
 func (d *Dispatcher) dropEndedJobs(now time.Time) {
 	var records []platform.Record
 	for id, j := range d.jobs {
-		if j.Outcome == "" || now.Sub(j.EndedAt) < d.timing.StatusRetention+retentionMargin || len(records) >= maxDropsPerWrite {
+		if j.Outcome == "" || now.Sub(j.EndedAt) < d.timing.StatusRetention+retentionMargin || len(records) >= recordsPerDrop*maxDropsPerWrite {
 			continue
 		}
-		records = append(records, platform.Record{Key: progressKeyPrefix + string(id)})
+		records = append(records, platform.Record{Key: submissionKeyPrefix + string(id)}, platform.Record{Key: progressKeyPrefix + string(id)})
 		delete(d.jobs, id)
 	}
 	if len(records) > 0 {
