dispatch: an entry whose pool is not configured says nothing about workers

The entry named the machine of a worker, a later start and a service that no configuration names.

Cause: any entry that could be decoded counted as a worker. A new worker on a machine ends the runs of the earlier ones there, so the tasks were placed again while the first runs went on. Under the key of a worker, such an entry counted as its restart.

Change: an entry counts only if a configuration, or a stored job, has named its pool in this term. Others are kept until a configuration names their pool, so that the workers of a new pool are used at once; under the key of a known worker they count as unreadable, as entries that cannot be decoded do. An owner that does not know the configuration yet accepts entries, since it has to renew leases, but ends no runs because of them.

TestForeignEntryEndsRuns and TestForeignEntryBeforeConfig fail before (the run is gone).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -110,6 +110,10 @@
 	openJobs      []*job // jobs that have not ended, ordered by time of acceptance
 	workers       map[worker.ID]*workerState
 	registrations map[worker.ID]worker.Registration
+	// namedPools are the pools that a configuration or a stored job has named in this term. unnamedPoolRecords are the
+	// entries of other pools, which may be named later.
+	namedPools         map[pool.Name]bool
+	unnamedPoolRecords map[worker.ID]platform.Record
 	// registrationsLoadedAt is when all registrations were last read; zero until they are. registrationsUnreadAt is when a
 	// read of them last failed.
 	registrationsLoadedAt, registrationsUnreadAt time.Time
@@ -235,8 +239,12 @@
 	if o.Cores <= 0 {
 		o.Cores = 1
 	}
+	namedPools := map[pool.Name]bool{}
+	for _, p := range o.Config.Pools() {
+		namedPools[p.Name] = true
+	}
 	return &Dispatcher{
-		cores: o.Cores,
+		cores: o.Cores, namedPools: namedPools,
 		store: o.Store, fleet: o.Fleet, advisor: o.Advisor, workerClient: o.Workers, timing: o.Timing, clock: o.Clock, log: o.Log, epoch: gained.Epoch, handedOver: gained.Departure == election.DepartureResigned, partition: gained.Partition, ownership: o.Ownership, inheritedRunTimeout: inheritedRunTimeout,
 		termStart: o.Clock.Now(), ctx: ctx, cycleRequests: make(chan struct{}, 1), restored: make(chan struct{}), config: o.Config,
 		jobs: map[task.JobID]*job{}, workers: map[worker.ID]*workerState{}, registrations: map[worker.ID]worker.Registration{},
@@ -290,6 +298,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.config = config
+	d.namePools(config)
 	for _, j := range d.openJobs {
 		d.applyQueueConfig(j)
 	}
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -30,7 +30,7 @@
 	eventWorkerRegistered       = event.Define(2522, "worker.listed", "a worker has registered")
 	eventWorkerStateChanged     = event.Define(2523, "worker.state", "the registered state of a worker has changed")
 	eventRegistrationRemoved    = event.Define(2524, "worker.unlisted", "the registration of a worker was removed")
-	eventRegistrationUnreadable = event.Define(2525, "worker.unreadable", "the registration of a known worker cannot be parsed; the worker gets no tasks until it can")
+	eventRegistrationUnreadable = event.Define(2525, "worker.unreadable", "the registration of a known worker cannot be parsed or names a pool that is not configured; the worker gets no tasks until it is valid")
 	eventMachineListFailed      = event.Define(2530, "machines.failed", "the list of machines cannot be read")
 	eventWaveRequested          = event.Define(2531, "wave.requested", "the operator has requested a maintenance wave")
 	eventWaveCompleted          = event.Define(2532, "wave.completed", "all machines of a maintenance wave were maintained")
--- a/dispatch/persistence.go
+++ b/dispatch/persistence.go
@@ -324,6 +324,7 @@
 		return
 	}
 	d.applyQueueConfig(j)
+	d.namedPools[j.Pool] = true
 	d.insertOpenJob(j)
 	for k, occurrence := range j.Occurrences {
 		for i := range occurrence.Steps {
--- a/dispatch/registration.go
+++ b/dispatch/registration.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/queue"
 	"hibiscuslane.example/hibiscuslane/worker"
 )
 
@@ -54,6 +56,7 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.unnamedPoolRecords = nil
 	present := map[worker.ID]bool{}
 	for _, r := range records {
 		present[worker.ID(r.Key)] = true
@@ -97,6 +100,7 @@
 func (d *Dispatcher) applyRegistration(record platform.Record) {
 	id := worker.ID(record.Key)
 	previous, known := d.registrations[id]
+	delete(d.unnamedPoolRecords, id)
 	if len(record.Value) == 0 {
 		if known {
 			d.log.Info(eventRegistrationRemoved, "worker", id, "offset", record.Offset)
@@ -105,6 +109,10 @@
 		return
 	}
 	registration, err := platform.ParseRegistration(record.Key, record.Value)
+	if err == nil && !d.isPoolNamed(registration.Pool) {
+		err = &UnnamedPoolError{Worker: id, Pool: registration.Pool}
+		d.keepUnnamedPoolRecord(id, record)
+	}
 	if err != nil {
 		if known {
 			// Another writer may have overwritten the entry, so the worker may go on working.
@@ -137,3 +145,35 @@
 	s.registration = registration
 	s.rack = rackLabel(registration.Labels)
 }
+
+// isPoolNamed reports whether a configuration or a stored job has named a pool in this term. Entries of other pools come
+// from other programs and say nothing about the workers of a machine. While no configuration is known, workers are accepted
+// so that their leases are renewed.
+func (d *Dispatcher) isPoolNamed(name pool.Name) bool { return d.config == nil || d.namedPools[name] }
+
+// keepUnnamedPoolRecord keeps an entry until a configuration names its pool.
+func (d *Dispatcher) keepUnnamedPoolRecord(id worker.ID, record platform.Record) {
+	if d.unnamedPoolRecords == nil {
+		d.unnamedPoolRecords = map[worker.ID]platform.Record{}
+	}
+	d.unnamedPoolRecords[id] = record
+}
+
+// namePools records that the pools of a configuration are in use, and applies the registrations that were kept for them.
+// Registrations that were accepted before the first configuration and belong to no pool are dropped.
+func (d *Dispatcher) namePools(config *queue.Config) {
+	for _, p := range config.Pools() {
+		d.namedPools[p.Name] = true
+	}
+	for id, r := range d.registrations {
+		if !d.namedPools[r.Pool] {
+			d.log.Info(eventRegistrationUnreadable, "worker", id, "error", &UnnamedPoolError{Worker: id, Pool: r.Pool})
+			delete(d.registrations, id)
+		}
+	}
+	records := d.unnamedPoolRecords
+	d.unnamedPoolRecords = nil
+	for _, r := range records {
+		d.applyRegistration(r)
+	}
+}
--- /dev/null
+++ b/dispatch/registration_test.go
@@ -0,0 +1,72 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/election"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/queue"
+	"hibiscuslane.example/hibiscuslane/task"
+	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/worker"
+)
+
+// entryRecord returns an entry among the registrations of workers, on the machine "m".
+func entryRecord(id, service string, born int) platform.Record {
+	return platform.Record{Key: id, Value: fmt.Appendf(nil, `{"service":%q,"address":"127.0.0.1:1","zone":"z","machine":"m","state":"ready","capacity":{"cpu":16000,"mem_mb":1000,"gpu":0},"born":%d}`, service, born)}
+}
+
+// newIdleDispatcher returns a dispatcher that calls no worker by itself, so that the test needs no lock.
+func newIdleDispatcher(t *testing.T, config *queue.Config) *Dispatcher {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	return New(ctx, election.Gained{Epoch: 1}, Options{Clock: &timer.Service{}, Config: config})
+}
+
+// addRun adds a run in the given phase on a worker and returns it.
+func addRun(d *Dispatcher, s *workerState, number task.RunNumber, phase runPhase) *run {
+	j := &job{Job: task.New("00000000000000aa", "queue", "desk", task.Spec{Steps: []task.Step{{Count: 1}}}, d.clock.Now())}
+	r := &run{id: runID{key: task.Key{Job: j.ID}, number: number}, job: j, step: &j.Spec.Steps[0], worker: s, workerID: s.id, machine: s.registration.Machine, incarnation: s.incarnation, phase: phase}
+	d.runs[r.id] = r
+	s.reserve(r)
+	return r
+}
+
+// TestForeignEntryEndsRuns guards against an entry of another program, which names the machine of a worker and a later
+// start but no configured pool, that is taken for a restart of the worker: its tasks would run twice.
+func TestForeignEntryEndsRuns(t *testing.T) {
+	config := queue.New(1, nil, []queue.Pool{{Name: "desk"}})
+	d := newIdleDispatcher(t, config)
+	d.applyRegistration(entryRecord("w", "desk", 1000))
+	s := d.workers["w"]
+	s.incarnation = 1000
+	r := addRun(d, s, 1, phaseRunning)
+	d.applyRegistration(entryRecord("agent", "telemetry", 2000))
+	require.Contains(t, d.runs, r.id)
+	require.Same(t, s, d.currentWorkers()["m"])
+	d.applyRegistration(entryRecord("w", "telemetry", 2000))
+	require.Contains(t, d.runs, r.id, "the entry of the worker was overwritten")
+	require.Equal(t, worker.StateUnreadable, d.registrations["w"].State)
+	d.applyRegistration(entryRecord("w", "desk", 1000))
+	require.Equal(t, worker.StateReady, d.registrations["w"].State)
+	d.SetConfig(queue.New(2, nil, []queue.Pool{{Name: "desk"}, {Name: "telemetry"}}))
+	require.Contains(t, d.workers, worker.ID("agent"), "a pool that is configured later has workers at once")
+}
+
+// TestForeignEntryBeforeConfig guards against the same for an owner that does not know the configuration yet.
+func TestForeignEntryBeforeConfig(t *testing.T) {
+	d := newIdleDispatcher(t, nil)
+	d.applyRegistration(entryRecord("w", "desk", 1000))
+	r := addRun(d, d.workers["w"], 1, phaseRunning)
+	d.applyRegistration(entryRecord("agent", "telemetry", 2000))
+	require.Contains(t, d.runs, r.id)
+	d.SetConfig(queue.New(1, nil, []queue.Pool{{Name: "desk"}}))
+	require.Contains(t, d.runs, r.id)
+	require.Contains(t, d.registrations, worker.ID("w"))
+	require.NotContains(t, d.registrations, worker.ID("agent"))
+}
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -493,9 +493,10 @@
 	return runs
 }
 
-// endEarlierIncarnations ends the runs of earlier workers on the machine of a newly registered worker.
+// endEarlierIncarnations ends the runs of earlier workers on the machine of a newly registered worker. It does nothing
+// before the pools are known, because the entry may then come from another program.
 func (d *Dispatcher) endEarlierIncarnations(registration worker.Registration) {
-	if registration.Machine == "" || registration.Incarnation == 0 {
+	if registration.Machine == "" || registration.Incarnation == 0 || d.config == nil {
 		return
 	}
 	now := d.clock.Now()
