dispatch: a worker whose restart is learned from a report keeps the clock of that report

A worker got no tasks any more after a restart that the owner learned from a report and not from the registration: the restart resets the lease, and with it the clock that the same report had brought; its runs have ended, so that it is not asked again; and a worker without a clock takes no tasks.

The clock is recorded after the restart is handled. TestRestartedWorkerIdle fails before (canTakeTasks is false).

--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -315,7 +315,6 @@
 	if err != nil {
 		return d.recordFailedRenewal(s, err, now)
 	}
-	s.lease.RecordClock(report.Clock, now)
 	s.ackedEnd = max(s.ackedEnd, renewal.LastSeenEnd)
 	if renewal.MaxWait == 0 {
 		usual := d.responseDelay.Load()
@@ -377,6 +376,7 @@
 		}
 		s.incarnation = report.Incarnation
 	}
+	s.lease.RecordClock(report.Clock, now)
 	firstReport := !s.tokenAcknowledged
 	s.tokenAcknowledged = true
 	hasNewEnds := false
--- a/dispatch/worker_state_test.go
+++ b/dispatch/worker_state_test.go
@@ -1,10 +1,18 @@
 package dispatch
 
 import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/queue"
+	"hibiscuslane.example/hibiscuslane/worker"
 )
 
 // TestRenewPause guards against idle capacity in a burst of 1 s tasks because ends are noticed late, and
@@ -29,3 +37,42 @@
 	require.Greater(t, renewalMargin(300*time.Millisecond), time.Second)
 	require.Less(t, maxReportDelay+renewalMargin(time.Minute), leaseDuration, "one late report must not cost the lease")
 }
+
+// newRestart returns a dispatcher with the worker "w", of incarnation 1000, that runs the task of the first run in
+// its report and has confirmed the start of the second one.
+func newRestart(t *testing.T) (d *Dispatcher, s *workerState, listed, unlisted *run) {
+	t.Helper()
+	d = newIdleDispatcher(t, queue.New(1, nil, []queue.Pool{{Name: "desk"}}))
+	d.timing.MaxLease = time.Minute
+	d.applyRegistration(entryRecord("w", "desk", 1000))
+	s = d.workers["w"]
+	listed, unlisted = addRun(d, s, d.firstRunNumber(), phaseUnconfirmed), addRun(d, s, d.firstRunNumber()+1, phaseStarting)
+	now := d.clock.Now()
+	d.applyReport(s, reportOf(1000, listed), now.Add(-time.Second), now)
+	d.handleStartResult(unlisted, s, nil)
+	return d, s, listed, unlisted
+}
+
+// reportOf returns a report that lists the given runs.
+func reportOf(incarnation worker.Incarnation, runs ...*run) worker.Report {
+	report := worker.Report{Incarnation: incarnation, Clock: 500, HasRunning: true}
+	for _, r := range runs {
+		report.Running = append(report.Running, worker.Run{Key: r.id.key, Number: r.id.number, SpeedPercent: 100})
+	}
+	return report
+}
+
+// TestRestartedWorkerIdle guards against a worker that gets no tasks any more: its restart is learned from a report,
+// whose clock is forgotten, and without runs it is not asked again.
+func TestRestartedWorkerIdle(t *testing.T) {
+	d, s, _, _ := newRestart(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"clock_ms":500,"born":2000,"running":[],"ended":[]}`))
+	}))
+	defer server.Close()
+	s.client = &platform.Worker{ID: "w", Address: instance.Address(strings.TrimPrefix(server.URL, "http://")), Client: platform.NewDirectClient()}
+	renewal, _ := d.nextRenewal(s)
+	d.renewLease(t.Context(), s, renewal)
+	require.Equal(t, worker.Incarnation(2000), s.incarnation)
+	require.True(t, d.canTakeTasks(s))
+}
