dispatch: a start that a restarted worker has confirmed is not given up with the runs of its earlier incarnation

Cause: a worker without runs is not asked for reports, so that the owner sends starts to the new incarnation before it knows of the restart. It confirms some. When the restart became known, every confirmed run counted as one of the earlier incarnation, and its task was placed again while it ran. Three related paths: a response of the earlier incarnation that arrives after the restart is known counted as another restart; the deadline of such a start comes from the earlier clock and may keep the run for the longest lease, not for the one that the owner counts on; and the crash was blamed on runs that it had not ended.

Change: a restart ends the runs that a report of the earlier incarnation has listed. Any other start that was sent is in doubt until a report of the new incarnation lists it or not, and the crash is counted then. Reports that were requested before the present incarnation was known and come from another one are ignored. The lease of a restarted worker with starts in doubt does not count as expired for the longest lease. Comparing the clock in the answer to a start with the expected one was weighed: it cannot tell incarnations that are equally young.

TestRestartConfirmedStart, TestRestartLostStart fail before, TestOutdatedReport tests a new check.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/task"
@@ -52,6 +53,47 @@
 	return lost.runs
 }
 
+// crash is the crash of a worker that may have ended uncertain runs: their starts were confirmed around the restart.
+type crash struct {
+	ended, uncertain []*run
+}
+
+// recordRestartCrash counts the crash of a restarted worker for the runs that it has ended. If it is not known for some
+// runs whether the new incarnation has them, the crash is counted after the next report (see attributeCrash).
+func (d *Dispatcher) recordRestartCrash(s *workerState, ended, uncertain []*run, now time.Time) {
+	if c := s.unattributedCrash; c != nil { // the runs of the earlier crash are not known any more
+		d.recordCrash(s.registration.Machine, c.ended, now)
+		s.unattributedCrash = nil
+	}
+	uncertain = slices.DeleteFunc(slices.Clone(uncertain), func(r *run) bool { return r.startConfirmedAt.IsZero() })
+	if len(uncertain) == 0 {
+		d.recordCrash(s.registration.Machine, ended, now)
+		return
+	}
+	s.unattributedCrash = &crash{ended: ended, uncertain: uncertain}
+}
+
+// attributeCrash counts a crash of a worker for the runs that it has ended, given the runs that the new incarnation lists
+// in a report that was requested at the given time. It waits for a later report if a run may have started after that.
+func (d *Dispatcher) attributeCrash(s *workerState, listed map[runID]bool, requestedAt, now time.Time) {
+	c := s.unattributedCrash
+	if c == nil {
+		return
+	}
+	ended := slices.Clone(c.ended)
+	for _, r := range c.uncertain {
+		if d.runs[r.id] != r || listed[r.id] {
+			continue // the new incarnation has it, or has reported its end
+		}
+		if !r.hasEndedUnlisted(requestedAt) {
+			return
+		}
+		ended = append(ended, r)
+	}
+	s.unattributedCrash = nil
+	d.recordCrash(s.registration.Machine, ended, now)
+}
+
 // recordCrash counts the crash of a worker for all tasks that ran there and may be the cause. The job of a task under which
 // several workers have crashed fails. It is called before the runs are ended.
 func (d *Dispatcher) recordCrash(machine worker.MachineID, runs []*run, now time.Time) {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -57,6 +57,8 @@
 	// that the worker last reported.
 	speedPercent    int
 	lastMeasurement float64
+	// listedBy is the incarnation of the worker that has listed the run in a report; zero if none has.
+	listedBy worker.Incarnation
 	// fullSpeedSince is when the worker first reported the run at full speed; zero while it runs slower.
 	fullSpeedSince time.Time
 }
@@ -176,7 +178,7 @@
 	if r.phase == phaseUnconfirmed || r.phase == phaseStarting {
 		d.confirmStart(r, now)
 	}
-	r.incarnation = r.worker.incarnation
+	r.incarnation, r.listedBy = r.worker.incarnation, r.worker.incarnation
 	if reported.Checkpoint != "" {
 		r.task().Checkpoint = reported.Checkpoint
 	}
@@ -199,7 +201,7 @@
 	case phasePlanned, phaseStarting:
 		// The start order was not sent or is not answered yet.
 	case phaseRunning:
-		if r.startConfirmedAt.Before(requestedAt) {
+		if r.hasEndedUnlisted(requestedAt) {
 			d.endLostRun(r, worker.CauseLeaseExpired, now)
 		}
 	case phaseUnconfirmed:
@@ -214,10 +216,10 @@
 }
 
 // resolveUnconfirmedRun handles a run with an unconfirmed start that is missing from a report. A run of an
-// earlier owner can no longer start, since the worker has seen the higher fencing token; a run of this term
-// is stopped first.
+// earlier owner can no longer start, since the worker has seen the higher fencing token, and a run whose start was
+// confirmed around a restart has ended with the earlier incarnation; any other run of this term is stopped first.
 func (d *Dispatcher) resolveUnconfirmedRun(r *run, requestedAt, now time.Time) {
-	if r.id.number < d.firstRunNumber() {
+	if r.id.number < d.firstRunNumber() || r.hasEndedUnlisted(requestedAt) {
 		d.endLostRun(r, worker.CauseLeaseExpired, now)
 		return
 	}
@@ -230,6 +232,12 @@
 	}
 }
 
+// hasEndedUnlisted reports whether a run that is missing from a report requested at the given time has ended, because its
+// start was confirmed before.
+func (r *run) hasEndedUnlisted(requestedAt time.Time) bool {
+	return !r.startConfirmedAt.IsZero() && r.startConfirmedAt.Before(requestedAt)
+}
+
 // firstRunNumber returns the lowest run number of this term.
 func (d *Dispatcher) firstRunNumber() task.RunNumber {
 	return task.RunNumber(d.epoch) * runNumbersPerEpoch
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -56,13 +56,15 @@
 
 // workerState is what the owner knows about one worker. It is guarded by Dispatcher.mu.
 type workerState struct {
-	id           worker.ID
-	incarnation  worker.Incarnation
-	registration worker.Registration
-	client       *platform.Worker
-	rack         string
-	lease        worker.Lease
-	runs         map[runID]*run
+	id          worker.ID
+	incarnation worker.Incarnation
+	// incarnationKnownAt is when the incarnation became known. Responses to earlier calls may come from an earlier one.
+	incarnationKnownAt time.Time
+	registration       worker.Registration
+	client             *platform.Worker
+	rack               string
+	lease              worker.Lease
+	runs               map[runID]*run
 	// longRunningRuns, latencySensitiveRuns and bestEffortRuns are the numbers of long-running runs, of those with a latency
 	// target and of best-effort ones.
 	longRunningRuns, latencySensitiveRuns, bestEffortRuns int
@@ -100,6 +102,8 @@
 	idleSince time.Time
 	// drainingForMaintenance is set while the machine is drained for maintenance.
 	drainingForMaintenance bool
+	// unattributedCrash is set while it is not known which runs a crash of the worker has ended.
+	unattributedCrash *crash
 }
 
 // isOverCapacity reports whether the runs on the worker need more than it has. Its capacity may shrink after they were
@@ -153,7 +157,7 @@
 		id: registration.ID, incarnation: registration.Incarnation, registration: registration, rack: rackLabel(registration.Labels), runs: map[runID]*run{},
 		client: &platform.Worker{ID: registration.ID, Address: registration.Address, Client: d.workerClient},
 		orders: make(chan func(context.Context), maxQueuedOrders), renewalRequests: make(chan struct{}, 1), cancel: cancel,
-		idleSince: d.clock.Now(),
+		idleSince: d.clock.Now(), incarnationKnownAt: d.clock.Now(),
 	}
 	d.workers[registration.ID] = s
 	for _, r := range d.inheritedRuns[registration.Machine] {
@@ -315,6 +319,10 @@
 	if err != nil {
 		return d.recordFailedRenewal(s, err, now)
 	}
+	if s.isOutdated(report, sent) {
+		d.log.Info(eventReportOutdated, "worker", s.id, "birth", report.Incarnation, "current", s.incarnation)
+		return minRenewalPause
+	}
 	s.ackedEnd = max(s.ackedEnd, renewal.LastSeenEnd)
 	if renewal.MaxWait == 0 {
 		usual := d.responseDelay.Load()
@@ -337,6 +345,12 @@
 	return 0
 }
 
+// isOutdated reports whether a report that was requested at the given time comes from an earlier incarnation of the worker.
+// Its start time does not show that, since clocks may jump.
+func (s *workerState) isOutdated(report worker.Report, sent time.Time) bool {
+	return report.Incarnation != 0 && s.incarnation != 0 && report.Incarnation != s.incarnation && sent.Before(s.incarnationKnownAt)
+}
+
 // renewalMargin returns how much later than requested a report may arrive, given the usual delay of responses.
 func renewalMargin(usualDelay time.Duration) time.Duration {
 	return min(max(renewalMarginFactor*usualDelay, minRenewalMargin), maxRenewalMargin)
@@ -374,7 +388,7 @@
 		if s.incarnation != 0 {
 			d.handleRestart(s, report.Incarnation)
 		}
-		s.incarnation = report.Incarnation
+		s.incarnation, s.incarnationKnownAt = report.Incarnation, now
 	}
 	s.lease.RecordClock(report.Clock, now)
 	firstReport := !s.tokenAcknowledged
@@ -420,6 +434,7 @@
 		s.orphanedRuns++
 		d.stopOrphanedRun(s, id)
 	}
+	d.attributeCrash(s, listed, sent, now)
 	for id, r := range s.runs {
 		if !listed[id] {
 			d.handleUnlistedRun(r, sent, now)
@@ -437,28 +452,42 @@
 	})
 }
 
-// handleRestart processes a new incarnation of a worker. All runs of the earlier one have ended, but orders
-// that were not answered may still reach the new one.
+// handleRestart processes a new incarnation of a worker. The runs that a report of the earlier one has listed have ended.
+// Any other order may have reached the new one, whether it was answered or not: the next report shows which.
 func (d *Dispatcher) handleRestart(s *workerState, incarnation worker.Incarnation) {
+	now := d.clock.Now()
 	d.log.Info(eventWorkerRestarted, "worker", s.id, "birth", s.incarnation, "next", incarnation, "runs", len(s.runs))
+	var ended, uncertain []*run
+	for _, r := range s.runs {
+		switch {
+		case r.phase == phasePlanned:
+			// The order has not been sent. It goes to the new incarnation or, if that has not answered by then, the
+			// run is removed (see sendStart).
+		case r.listedBy == s.incarnation && r.phase != phaseUnconfirmed:
+			ended = append(ended, r)
+		default:
+			uncertain = append(uncertain, r)
+		}
+	}
 	if lost := d.takeLostRuns(s.registration.Machine, incarnation); !s.isLeaving() {
-		d.recordCrash(s.registration.Machine, slices.AppendSeq(lost, maps.Values(s.runs)), d.clock.Now())
+		d.recordRestartCrash(s, append(lost, ended...), uncertain, now)
 	}
-	s.incarnation = incarnation
+	s.incarnation, s.incarnationKnownAt = incarnation, now
 	s.tokenAcknowledged = false
 	s.lease = worker.Lease{}
+	if len(uncertain) > 0 {
+		// Deadlines of the earlier incarnation's clock may exceed the longest lease on the new one's.
+		s.lease.HeldUntil = now.Add(d.timing.MaxLease + maxLeaseLifetime)
+	}
 	s.reportedEnd, s.submittedEnd, s.storedEnd, s.ackedEnd, s.orphanedRuns = 0, 0, 0, 0, 0
-	for _, r := range s.runs {
-		switch r.phase {
-		case phaseStarting, phaseUnconfirmed:
+	for _, r := range uncertain {
+		if r.phase != phaseStopping {
 			r.phase = phaseUnconfirmed
-			r.stopConfirmedAt = time.Time{}
-		case phasePlanned:
-			// The order has not been sent. It goes to the new incarnation or, if that has not answered by then, the
-			// run is removed (see sendStart).
-		default:
-			d.endLostRun(r, worker.CauseLeaseExpired, d.clock.Now())
 		}
+		r.stopSentAt, r.stopConfirmedAt = time.Time{}, time.Time{}
+	}
+	for _, r := range ended {
+		d.endLostRun(r, worker.CauseLeaseExpired, now)
 	}
 }
 
--- a/dispatch/worker_state_test.go
+++ b/dispatch/worker_state_test.go
@@ -62,6 +62,46 @@
 	return report
 }
 
+// TestRestartConfirmedStart guards against a task that is started a second time while it runs: its worker had restarted, the
+// new incarnation confirmed the start, and the owner learned of the restart only then.
+func TestRestartConfirmedStart(t *testing.T) {
+	d, s, listed, unlisted := newRestart(t)
+	d.applyRegistration(entryRecord("w", "desk", 2000))
+	require.NotContains(t, d.runs, listed.id, "it has ended with the earlier incarnation")
+	require.Contains(t, d.runs, unlisted.id, "the new incarnation may have it")
+	require.False(t, s.lease.IsExpired(d.clock.Now().Add(d.timing.MaxLease)), "the deadline was meant for another clock")
+	sent := d.clock.Now()
+	d.applyReport(s, reportOf(2000, unlisted), sent, sent)
+	require.Equal(t, phaseRunning, unlisted.phase)
+	require.Equal(t, 1, listed.task().Crashes)
+	require.Zero(t, unlisted.task().Crashes)
+}
+
+// TestRestartLostStart guards against a task that is never started again, and not blamed for the crash, because its start
+// was confirmed by an earlier incarnation of the worker and no report has listed it.
+func TestRestartLostStart(t *testing.T) {
+	d, s, listed, unlisted := newRestart(t)
+	sentBefore := unlisted.startConfirmedAt.Add(-time.Millisecond)
+	d.applyReport(s, reportOf(2000), sentBefore, d.clock.Now())
+	require.Contains(t, d.runs, unlisted.id, "it may have started after the report was requested")
+	require.Zero(t, listed.task().Crashes)
+	d.applyReport(s, reportOf(2000), d.clock.Now(), d.clock.Now())
+	require.NotContains(t, d.runs, unlisted.id)
+	require.Equal(t, 1, listed.task().Crashes)
+	require.Equal(t, 1, unlisted.task().Crashes)
+}
+
+// TestOutdatedReport guards against a response of an earlier incarnation that arrives after the restart is known and is
+// taken for a restart in turn, which ends the runs of the new incarnation.
+func TestOutdatedReport(t *testing.T) {
+	d, s, _, _ := newRestart(t)
+	before := d.clock.Now()
+	d.applyRegistration(entryRecord("w", "desk", 2000))
+	require.True(t, s.isOutdated(reportOf(1000), before))
+	require.False(t, s.isOutdated(reportOf(2000), before))
+	require.False(t, s.isOutdated(reportOf(1500), d.clock.Now()), "the clock of the worker was set back")
+}
+
 // TestRestartedWorkerIdle guards against a worker that gets no tasks any more: its restart is learned from a report,
 // whose clock is forgotten, and without runs it is not asked again.
 func TestRestartedWorkerIdle(t *testing.T) {
--- a/worker/lease.go
+++ b/worker/lease.go
@@ -18,6 +18,9 @@
 	receivedAt time.Time
 	// maxDeadline is the latest deadline of all orders sent, including those that were never answered.
 	maxDeadline Clock
+	// HeldUntil is the local time before which the lease does not count as expired, whatever deadlines were granted, because
+	// an earlier incarnation of the worker may have been granted later ones; zero if there was none.
+	HeldUntil time.Time
 }
 
 // RecordClock records the clock of a response that was received at the given local time. It ignores a clock that is
@@ -54,7 +57,7 @@
 // IsExpired reports whether every granted deadline has certainly passed on the worker, even if its clock is slow. It
 // returns false while the worker's clock is not known.
 func (l *Lease) IsExpired(now time.Time) bool {
-	if !l.HasClock() {
+	if !l.HasClock() || now.Before(l.HeldUntil) {
 		return false
 	}
 	elapsed := Clock(minClockRate * float64((now.Sub(l.receivedAt) - leaseSlack).Milliseconds()))
