dispatch, schedule: log what a long-running task waits for

The logs did not show whether the owner had not learned of their end, had placed them on workers that were gone, or had found no worker, and if so for want of what.

task.waits names, once a second and for at most four steps, a long-running task that has waited for more than 2 s, what it needs, and the workers of its pool by what keeps the task from starting there (schedule.FindObstacle, which replaces canStart).

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -125,6 +125,8 @@
 	changesPending bool
 	maintenance    maintenance
 	arrivals       map[queue.Name]*arrivalStats
+	// longWaitsLoggedAt is when logLongWaits last checked.
+	longWaitsLoggedAt time.Time
 	// shortPoolLoggedAt is when each pool was last logged as lacking capacity.
 	shortPoolLoggedAt map[pool.Name]time.Time
 	adviceByStep      map[string]*advice
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -45,6 +45,7 @@
 	eventAdviceReceived         = event.Define(2540, "advice.given", "the advice service named the workers that may run a step")
 	eventTaskUnavailable        = event.Define(2542, "task.away", "a long-running task of a step with a limit of unavailable tasks has ended; away counts the other tasks of the step that are not at full speed, most is the limit")
 	eventCycleLate              = event.Define(2543, "cycle.late", "a cycle of the owner has taken long: late is the time beyond its interval, of which it waited for the lock, worked, and waited for the processor after its timer")
+	eventTaskWaits              = event.Define(2546, "task.waits", "a long-running task has been waiting for seconds; obstacles counts the workers of its pool that take tasks by what keeps the task from starting there")
 	eventCrashRecorded          = event.Define(2544, "task.crash", "a worker has crashed while the task ran there, which may be the cause; suspects is the number of such tasks")
 	eventRenewalLate            = event.Define(2545, "lease.late", "the lease of a worker is renewed late; margin is what was left of it")
 	eventSpeedChanged           = event.Define(2537, "task.paced", "the speed of a best-effort task was changed")
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -29,12 +29,14 @@
 			waiting += len(step.Tasks)
 		}
 	}
-	for name, workers := range d.availableWorkers(pending, now) {
-		for _, a := range schedule.Plan(now, workers, pending[name]) {
+	workers := d.availableWorkers(pending, now)
+	for name := range workers {
+		for _, a := range schedule.Plan(now, workers[name], pending[name]) {
 			d.assignTask(a)
 			waiting--
 		}
 	}
+	d.logLongWaits(pending, workers, now)
 	d.hasWaitingTasks = waiting > 0
 }
 
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -268,26 +268,48 @@
 	p.TasksPerRack[w.Rack]++
 }
 
-// canStart reports whether a task of the step may start on a worker. The tasks of a gang have to run together, also if
-// they are crash suspects.
-func canStart(p *PendingStep, index int, w *Worker) bool {
-	if p.CrashSuspects[index] && w.CrashSuspects > 0 && !p.Spec.Gang {
-		return false
-	}
-	if !w.Free.CanFit(p.Spec.Reservation()) || w.Draining && p.Spec.LongRunning {
-		return false
-	}
-	if p.Spec.RequiredLabel != "" && !slices.Contains(w.Labels, p.Spec.RequiredLabel) {
-		return false
-	}
-	if p.Spec.MaxPerWorker > 0 && p.TasksPerWorker[w.ID] >= p.Spec.MaxPerWorker {
-		return false
-	}
-	if p.Tickets != nil {
-		_, ok := p.Tickets[w.ID]
-		return ok
-	}
-	return true
+// Obstacle is what prevents a task from starting on a worker.
+type Obstacle string
+
+// Obstacles in the order in which they are checked.
+const (
+	ObstacleNone     Obstacle = "none"
+	ObstacleSuspect  Obstacle = "suspect"  // another crash suspect is on the worker
+	ObstacleCPU      Obstacle = "cpu"      // too little CPU capacity is free
+	ObstacleMemory   Obstacle = "memory"   // too little memory is free
+	ObstacleGPU      Obstacle = "gpu"      // too few accelerators are free
+	ObstacleDraining Obstacle = "draining" // the machine is drained, and the task is a long-running one
+	ObstacleLabel    Obstacle = "label"    // the worker lacks the required label
+	ObstacleLimit    Obstacle = "limit"    // the worker has as many tasks of the step as it may
+	ObstacleTicket   Obstacle = "ticket"   // the advice service has issued no ticket for the worker
+)
+
+// FindObstacle returns what prevents a task of the step from starting on a worker. The tasks of a gang have to run
+// together, also if they are crash suspects.
+func FindObstacle(p *PendingStep, index int, w *Worker) Obstacle {
+	needed := p.Spec.Reservation()
+	switch {
+	case p.CrashSuspects[index] && w.CrashSuspects > 0 && !p.Spec.Gang:
+		return ObstacleSuspect
+	case w.Free.CPU < needed.CPU:
+		return ObstacleCPU
+	case w.Free.Memory < needed.Memory:
+		return ObstacleMemory
+	case w.Free.GPU < needed.GPU:
+		return ObstacleGPU
+	case w.Draining && p.Spec.LongRunning:
+		return ObstacleDraining
+	case p.Spec.RequiredLabel != "" && !slices.Contains(w.Labels, p.Spec.RequiredLabel):
+		return ObstacleLabel
+	case p.Spec.MaxPerWorker > 0 && p.TasksPerWorker[w.ID] >= p.Spec.MaxPerWorker:
+		return ObstacleLimit
+	case p.Tickets == nil:
+		return ObstacleNone
+	}
+	if _, ok := p.Tickets[w.ID]; !ok {
+		return ObstacleTicket
+	}
+	return ObstacleNone
 }
 
 // chooseWorker returns the worker with the lowest cost for a task, or nil if the task may start on none.
@@ -295,7 +317,7 @@
 	var best *Worker
 	var lowestCost float64
 	for _, w := range workers {
-		if !canStart(p, index, w) {
+		if FindObstacle(p, index, w) != ObstacleNone {
 			continue
 		}
 		c := cost(p, index, w)
