dispatch: no task for a worker whose machine was moved, while its registration has not lapsed

Cause: a worker was known to have ended with the move only if the list of machines showed its machine while it moved. The list of 1,100 machines is read every 1.65 s, a move takes 1.5 s. Once the order was settled, nothing said that the worker was gone until its registration lapsed. After a move between two pools that are on, the new worker on the machine settled the order, and the earlier one was taken for a ready worker for as long, on deployments of any size.

Change: a confirmed move ends the worker once the list shows the machine in the other pool, and a worker takes no tasks once a later one has registered on its machine. TestMovedWorkerUsed fails before, in both parts.

--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -256,6 +256,7 @@
 		s.drainingForMaintenance = false
 		d.endIncarnationIfUnavailable(s, requestedAt, now)
 	}
+	d.settleOrders(requestedAt)
 	for _, w := range d.maintenance.waves {
 		if !w.completedPublished && !w.startedAt.IsZero() {
 			d.advanceWave(w, now)
@@ -266,8 +267,7 @@
 	d.requestCycle()
 }
 
-// readMachines reads the list of machines, without the lock, and settles the orders that it shows as carried out. It reports
-// whether the list could be read.
+// readMachines reads the list of machines, without the lock. It reports whether the list could be read.
 func (d *Dispatcher) readMachines() bool {
 	d.mu.Unlock()
 	callCtx, cancel := d.clock.WithTimeout(d.ctx, machineCallTimeout)
@@ -284,27 +284,33 @@
 	for _, m := range list {
 		d.maintenance.machines[m.ID] = m
 	}
+	return true
+}
+
+// settleOrders forgets the confirmed orders that the list of machines shows as carried out.
+func (d *Dispatcher) settleOrders(listedAt time.Time) {
 	for id, order := range d.maintenance.pendingOrders {
 		m, ok := d.maintenance.machines[id]
-		returned := m.State == worker.MachineUp && requestedAt.Sub(order.since) > order.downtime+returnMargin
+		returned := m.State == worker.MachineUp && listedAt.Sub(order.since) > order.downtime+returnMargin
 		if order.confirmed && (!ok || returned) {
 			delete(d.maintenance.pendingOrders, id)
 		}
 	}
-	return true
 }
 
-// endIncarnationIfUnavailable ends the incarnation of a worker whose machine the list shows as moving or under
+// endIncarnationIfUnavailable ends the incarnation of a worker whose machine the list shows as moving, moved or under
 // maintenance because of an order. The response to the order does not prove this, because the platform also
 // confirms a repeated order that was carried out earlier.
 func (d *Dispatcher) endIncarnationIfUnavailable(s *workerState, listedAt, now time.Time) {
 	id := s.registration.Machine
 	order, ordered := d.maintenance.pendingOrders[id]
-	state := d.maintenance.machines[id].State
 	if !ordered || s.endedByOrder || s.incarnation > order.incarnation || listedAt.Before(order.since) {
 		return
 	}
-	if state == worker.MachineMoving || state == worker.MachineMaintenance {
+	m := d.maintenance.machines[id]
+	// A long list is read too rarely to show each machine while it moves.
+	hasMoved := order.confirmed && order.toPool != "" && m.Pool == order.toPool && s.registration.Pool != m.Pool
+	if m.State == worker.MachineMoving || m.State == worker.MachineMaintenance || hasMoved {
 		s.endedByOrder = true
 		d.endIncarnation(s, now)
 	}
--- a/dispatch/maintenance_test.go
+++ b/dispatch/maintenance_test.go
@@ -33,3 +33,33 @@
 	machine.Pool = "spare"
 	require.True(t, d.waveMachine(w, machine, nil, nil, time.Now()).Up, "a machine that is switched off runs nothing")
 }
+
+// TestMovedWorkerUsed guards against tasks that are placed on a worker whose machine was moved to another pool, while its
+// registration has not lapsed: the start is not answered, and the task waits until a lease has passed. The list of many
+// machines is read too rarely to show each of them while it moves.
+func TestMovedWorkerUsed(t *testing.T) {
+	newMove := func() (*Dispatcher, *workerState) {
+		d := newIdleDispatcher(t, queue.New(1, nil, []queue.Pool{{Name: "desk"}, {Name: "gate"}}))
+		d.applyRegistration(entryRecord("w", "desk", 1000))
+		s := d.workers["w"]
+		now := d.clock.Now()
+		d.applyReport(s, reportOf(1000), now, now)
+		require.True(t, d.canTakeTasks(s))
+		d.timing.MoveDuration = time.Second
+		confirmedAt := now.Add(-d.timing.MoveDuration - 2*returnMargin)
+		d.maintenance.pendingOrders = map[worker.MachineID]machineOrder{"m": {since: confirmedAt, downtime: d.timing.MoveDuration, incarnation: 1000, toPool: "gate", confirmed: true}}
+		return d, s
+	}
+	d, s := newMove()
+	listedAt := d.clock.Now()
+	d.maintenance.machines = map[worker.MachineID]worker.Machine{"m": {ID: "m", Pool: "gate", State: worker.MachineUp}}
+	d.endIncarnationIfUnavailable(s, listedAt, listedAt)
+	d.settleOrders(listedAt)
+	require.Empty(t, d.maintenance.pendingOrders)
+	require.False(t, d.canTakeTasks(s), "the list shows the machine in the other pool")
+
+	d, s = newMove()
+	d.applyRegistration(entryRecord("next", "gate", 2000))
+	require.Empty(t, d.maintenance.pendingOrders)
+	require.False(t, d.canTakeTasks(s), "a later worker has registered on the machine")
+}
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -98,6 +98,9 @@
 	cancel context.CancelFunc
 	// endedByOrder is set once a machine order (move or maintenance) has ended the worker's incarnation.
 	endedByOrder bool
+	// replaced is set once a later worker has registered on the machine. The registration of this one may last for some
+	// more seconds.
+	replaced bool
 	// idleSince is when the last run ended or, if there was none, when the worker was added.
 	idleSince time.Time
 	// drainingForMaintenance is set while the machine is drained for maintenance.
@@ -522,7 +525,7 @@
 	return runs
 }
 
-// endEarlierIncarnations ends the runs of earlier workers on the machine of a newly registered worker. It does nothing
+// endEarlierIncarnations ends earlier workers on the machine of a newly registered worker, and their runs. It does nothing
 // before the pools are known, because the entry may then come from another program.
 func (d *Dispatcher) endEarlierIncarnations(registration worker.Registration) {
 	if registration.Machine == "" || registration.Incarnation == 0 || d.config == nil {
@@ -540,6 +543,11 @@
 	if !leaving {
 		d.recordCrash(registration.Machine, ended, now)
 	}
+	for _, s := range d.workers {
+		if s.registration.Machine == registration.Machine && s.id != registration.ID && s.incarnation < registration.Incarnation {
+			s.replaced = true
+		}
+	}
 	for _, r := range ended {
 		d.endLostRun(r, worker.CauseLeaseExpired, now)
 	}
