balance, dispatch: machines move to pools by memory and for stranded long-running tasks too

Cause: pools asked for machines by processors alone. Ruled out: an end that the owner had not learned of (run numbers show that no start was tried in between), and the restart under way elsewhere.

Change: loads and capacities are amounts of every resource (balance.Amount), and a pool lacks machines by the resource that it lacks most. A pool also asks for empty machines for long-running tasks that have waited for 0.3 s, since enough memory in total may be spread over its workers; not for tasks that no machine can take, or that need a label or a ticket. The deficit in pool.short is in machines now.

TestMemoryBoundPool fails if memory is left out of Amount.machines, TestStrandedTasks if StrandedMachines is left out of Deficit; the former code has neither.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -7,7 +7,6 @@
 package balance
 
 import (
-	"math"
 	"sort"
 	"time"
 
@@ -17,9 +16,8 @@
 
 // Machine is a machine that may be moved.
 type Machine struct {
-	ID worker.MachineID
-	// MilliCores is the CPU capacity of the machine in thousandths of a core.
-	MilliCores int64
+	ID       worker.MachineID
+	Capacity Amount
 	// Idle is set if no task runs or is placed on the machine; IdleSince is when it became idle.
 	Idle      bool
 	IdleSince time.Time
@@ -29,23 +27,26 @@
 	Pinned bool
 }
 
-// Pool is the state of a pool. All its capacities are in thousandths of a core.
+// Pool is the state of a pool.
 type Pool struct {
 	Name pool.Name
 	// Spare is set if the machines of the pool are switched off.
 	Spare bool
-	// ArrivalRate is the rate of arriving work in thousandths of a core, that is, core-milliseconds per second.
-	ArrivalRate float64
-	// Backlog is the waiting work in thousandths of a core times seconds.
-	Backlog float64
-	// BatchReserved is the CPU capacity reserved by batch tasks, which end on their own. LongRunningReserved is that
+	// ArrivalRate is the work that arrives per second, and Backlog the waiting work.
+	ArrivalRate, Backlog Amount
+	// BatchReserved is the capacity reserved by batch tasks, which end on their own. LongRunningReserved is that
 	// of long-running tasks, including those that wait for a worker.
-	BatchReserved, LongRunningReserved int64
+	BatchReserved, LongRunningReserved Amount
 	// MinMachines is the number of machines that a long-running step needs because of its limit of tasks per worker.
 	MinMachines int
-	Machines    []Machine
-	// IncomingCapacity is the CPU capacity of machines that are moving to the pool.
-	IncomingCapacity int64
+	// StrandedMachines is the number of empty machines that would take the long-running tasks for which no worker has room,
+	// although the pool may have enough capacity in total.
+	StrandedMachines int
+	Machines         []Machine
+	// IncomingCapacity is the capacity of machines that are moving to the pool.
+	IncomingCapacity Amount
+	// typical is the mean capacity of all machines; Plan sets it.
+	typical Amount
 }
 
 // Move is the decision to move a machine to another pool.
@@ -72,29 +73,38 @@
 }
 
 // availableCapacity returns the capacity of the machines of a pool that are not pinned and of those moving to it.
-func (p *Pool) availableCapacity() int64 {
+func (p *Pool) availableCapacity() Amount {
 	total := p.IncomingCapacity
 	for _, m := range p.Machines {
 		if !m.Pinned {
-			total += m.MilliCores
+			total = total.Add(m.Capacity)
 		}
 	}
 	return total
 }
 
 // requiredCapacity returns the capacity that a pool needs for its tasks, its backlog and the arriving work.
-func (p *Pool) requiredCapacity(s Settings) float64 {
+func (p *Pool) requiredCapacity(s Settings) Amount {
+	work := p.ArrivalRate.Add(p.Backlog.Scale(1 / s.BacklogHorizon.Seconds()))
+	return p.LongRunningReserved.Add(work.max(p.BatchReserved))
+}
+
+// Deficit returns how many machines the pool lacks, by the resource that it lacks most. It is negative if the pool has
+// more than it needs. Its unit is that of the last call of Plan.
+func (p *Pool) Deficit(s Settings) float64 {
+	available := p.availableCapacity()
 	if p.Spare {
-		return 0
+		return -available.machines(p.typical)
 	}
-	work := math.Max(p.ArrivalRate, 0) + p.Backlog/s.BacklogHorizon.Seconds()
-	return math.Max(float64(p.LongRunningReserved)+math.Max(work, float64(p.BatchReserved)), float64(p.MinMachines)*p.meanMachineCapacity())
+	idle, _, _ := p.MachineCounts()
+	stranded := float64(p.StrandedMachines-idle) - p.IncomingCapacity.CPU/max(p.typical.CPU, 1)
+	return max(p.deficitWith(available, s), stranded)
 }
 
-// Deficit returns the capacity that the pool lacks, in thousandths of a core. It is negative if the pool has more than
-// it needs.
-func (p *Pool) Deficit(s Settings) float64 {
-	return p.requiredCapacity(s) - float64(p.availableCapacity())
+// deficitWith returns how many machines the pool lacks if it has the given capacity.
+func (p *Pool) deficitWith(available Amount, s Settings) float64 {
+	missing := p.requiredCapacity(s).Sub(available).machines(p.typical)
+	return max(missing, float64(p.MinMachines)-available.CPU/max(p.typical.CPU, 1))
 }
 
 // MachineCounts returns how many machines of the pool are idle and may be moved, how many are pinned, and how many
@@ -113,21 +123,25 @@
 	return idle, pinned, busy
 }
 
-// meanMachineCapacity returns the mean capacity of the machines of a pool.
-func (p *Pool) meanMachineCapacity() float64 {
-	if len(p.Machines) == 0 {
-		return 0
+// setTypical sets the mean capacity of all machines in each pool.
+func setTypical(pools []*Pool) {
+	var total Amount
+	count := 0
+	for _, p := range pools {
+		for _, m := range p.Machines {
+			total = total.Add(m.Capacity)
+			count++
+		}
 	}
-	var total int64
-	for _, m := range p.Machines {
-		total += m.MilliCores
+	for _, p := range pools {
+		p.typical = total.Scale(1 / float64(max(count, 1)))
 	}
-	return float64(total) / float64(len(p.Machines))
 }
 
 // Plan returns the moves to order now: idle machines go to pools with a deficit, the largest deficit first, and then
 // those that no pool needs go to the spare pool. It updates the pools accordingly.
 func Plan(pools []*Pool, s Settings, now time.Time) []Move {
+	setTypical(pools)
 	var moves []Move
 	byDeficit := append([]*Pool(nil), pools...)
 	sort.SliceStable(byDeficit, func(i, j int) bool { return byDeficit[i].Deficit(s) > byDeficit[j].Deficit(s) })
@@ -147,7 +161,7 @@
 func moveMachine(from *Pool, i int, to *Pool) Move {
 	m := from.Machines[i]
 	from.Machines = append(from.Machines[:i:i], from.Machines[i+1:]...)
-	to.IncomingCapacity += m.MilliCores
+	to.IncomingCapacity = to.IncomingCapacity.Add(m.Capacity)
 	return Move{Machine: m.ID, From: from.Name, To: to.Name}
 }
 
@@ -166,7 +180,7 @@
 		if i < 0 {
 			continue
 		}
-		surplus := float64(p.availableCapacity()) - p.requiredCapacity(s)
+		surplus := -p.Deficit(s)
 		if p.Spare {
 			surplus = 0
 		}
@@ -186,14 +200,14 @@
 			available++
 		}
 	}
-	if !p.Spare && available <= max(s.MinPerPool, p.MinMachines) {
+	if !p.Spare && (p.StrandedMachines > 0 || available <= max(s.MinPerPool, p.MinMachines)) {
 		return -1
 	}
 	for i, m := range p.Machines {
 		if !m.Idle || m.Pinned || !idleBefore.IsZero() && m.IdleSince.After(idleBefore) {
 			continue
 		}
-		if p.Spare || float64(p.availableCapacity()-m.MilliCores) >= p.requiredCapacity(s) {
+		if p.Spare || p.deficitWith(p.availableCapacity().Sub(m.Capacity), s) <= 0 {
 			return i
 		}
 	}
--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,50 @@
+package balance_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/balance"
+	"hibiscuslane.example/hibiscuslane/worker"
+)
+
+// newPools returns a pool with the given number of busy machines, and a spare pool with plenty.
+func newPools(busy int) (*balance.Pool, []*balance.Pool) {
+	capacity := balance.Amount{CPU: 16000, Memory: 32768}
+	p, spare := &balance.Pool{Name: "desk"}, &balance.Pool{Name: "spare", Spare: true}
+	for i := range busy {
+		p.Machines = append(p.Machines, balance.Machine{ID: worker.MachineID(fmt.Sprint("desk-", i)), Capacity: capacity})
+	}
+	for i := range 100 {
+		spare.Machines = append(spare.Machines, balance.Machine{ID: worker.MachineID(fmt.Sprint("spare-", i)), Capacity: capacity, Idle: true})
+	}
+	return p, []*balance.Pool{p, spare}
+}
+
+// TestMemoryBoundPool guards against a pool that gets no machines because it has enough processors, while its long-running
+// tasks and its burst need more memory than it has.
+func TestMemoryBoundPool(t *testing.T) {
+	p, pools := newPools(26)
+	p.LongRunningReserved = balance.Amount{CPU: 6 * 24 * 2400, Memory: 6 * 24 * 8500}
+	moves := balance.Plan(pools, balance.DefaultSettings(), time.Now())
+	require.Len(t, moves, 12, "38 machines have the memory")
+	p, pools = newPools(26)
+	p.Backlog = balance.Amount{CPU: 2.5 * 26 * 10000, Memory: 2.5 * 30 * 32768}
+	require.Len(t, balance.Plan(pools, balance.DefaultSettings(), time.Now()), 4)
+}
+
+// TestStrandedTasks guards against long-running tasks that wait for seconds in a pool whose free capacity is spread over
+// its workers, and against more machines for them than they need.
+func TestStrandedTasks(t *testing.T) {
+	p, pools := newPools(26)
+	p.StrandedMachines = 2
+	require.Len(t, balance.Plan(pools, balance.DefaultSettings(), time.Now()), 2)
+	require.Empty(t, balance.Plan(pools, balance.DefaultSettings(), time.Now()), "two machines are on the way")
+	p, pools = newPools(26)
+	p.StrandedMachines = 2
+	p.Machines[0].Idle, p.Machines[1].Idle = true, true
+	require.Empty(t, balance.Plan(pools, balance.DefaultSettings(), time.Now()), "two machines are idle, and stay")
+}
--- a/balance/replay_test.go
+++ b/balance/replay_test.go
@@ -33,6 +33,8 @@
 	hardDeadlineFactor = 3
 )
 
+var machineCapacity = task.Resources{CPU: machineCPU, Memory: machineMemory}
+
 // poolSizes is the number of machines that each pool has at the start. Each queue has its own pool.
 var poolSizes = []int{9, 9, 11, 12}
 
@@ -107,7 +109,7 @@
 	machines []*machine
 	jobs     []*task.Job
 	running  []running
-	jobWork  map[pool.Name][]float64 // the work of each submitted job (see totalWork)
+	jobWork  map[pool.Name][]balance.Amount // the work of each submitted job (see totalWork)
 	arrivals map[pool.Name][]time.Time
 	result   result
 }
@@ -117,7 +119,7 @@
 // simulate runs the recorded jobs with the given policy.
 func simulate(jobs []arrival, p policy) result {
 	start := time.UnixMilli(1_700_000_000_000)
-	s := &simulation{now: start, jobWork: map[pool.Name][]float64{}, arrivals: map[pool.Name][]time.Time{}}
+	s := &simulation{now: start, jobWork: map[pool.Name][]balance.Amount{}, arrivals: map[pool.Name][]time.Time{}}
 	s.addMachines()
 	next := 0
 	for tickNumber := 0; s.now.Sub(start) < recordingLength; tickNumber++ {
@@ -156,11 +158,11 @@
 	s.arrivals[p] = append(s.arrivals[p], s.now)
 }
 
-// totalWork returns the work of all steps in thousandths of a core times seconds.
-func totalWork(steps []task.Step) float64 {
-	var work float64
+// totalWork returns the work of all steps.
+func totalWork(steps []task.Step) balance.Amount {
+	var work balance.Amount
 	for _, s := range steps {
-		work += float64(s.Count) * float64(s.Resources.CPU) * s.Estimate.Seconds()
+		work = work.Add(balance.AmountOf(s.Resources).Scale(float64(s.Count) * s.Estimate.Seconds()))
 	}
 	return work
 }
@@ -240,7 +242,7 @@
 			if m.pool != poolName(queue) || m.unavailableUntil.After(s.now) {
 				continue
 			}
-			capacity := task.Resources{CPU: machineCPU, Memory: machineMemory}
+			capacity := machineCapacity
 			byID[worker.ID(m.id)] = m
 			workers = append(workers, &schedule.Worker{ID: worker.ID(m.id), Capacity: capacity, Free: capacity.Sub(m.reserved)})
 		}
@@ -269,11 +271,11 @@
 	for _, m := range s.machines {
 		machines[m.id] = m
 		if m.unavailableUntil.After(s.now) {
-			byName[m.pool].IncomingCapacity += machineCPU
+			byName[m.pool].IncomingCapacity = byName[m.pool].IncomingCapacity.Add(balance.AmountOf(machineCapacity))
 			continue
 		}
-		byName[m.pool].BatchReserved += m.reserved.CPU
-		byName[m.pool].Machines = append(byName[m.pool].Machines, balance.Machine{ID: m.id, MilliCores: machineCPU, Idle: m.runs == 0, IdleSince: m.idleSince})
+		byName[m.pool].BatchReserved = byName[m.pool].BatchReserved.Add(balance.AmountOf(m.reserved))
+		byName[m.pool].Machines = append(byName[m.pool].Machines, balance.Machine{ID: m.id, Capacity: balance.AmountOf(machineCapacity), Idle: m.runs == 0, IdleSince: m.idleSince})
 	}
 	for _, move := range balance.Plan(pools, balance.DefaultSettings(), s.now) {
 		m := machines[move.Machine]
@@ -288,20 +290,20 @@
 // describePool returns the load of a pool without its machines.
 func (s *simulation) describePool(p pool.Name) *balance.Pool {
 	b := &balance.Pool{Name: p}
-	recent, total := 0, 0.0
+	recent, total := 0, balance.Amount{}
 	for _, at := range s.arrivals[p] {
 		if s.now.Sub(at) <= rateWindow {
 			recent++
 		}
 	}
 	for _, work := range s.jobWork[p] {
-		total += work
+		total = total.Add(work)
 	}
 	if n := len(s.jobWork[p]); n > 0 {
-		b.ArrivalRate = float64(recent) * total / float64(n) / rateWindow.Seconds()
+		b.ArrivalRate = total.Scale(float64(recent) / float64(n) / rateWindow.Seconds())
 	}
 	for _, pending := range s.pendingSteps(p, true) {
-		b.Backlog += float64(pending.Spec.Resources.CPU) * pending.Spec.Estimate.Seconds() * float64(len(pending.Tasks))
+		b.Backlog = b.Backlog.Add(balance.AmountOf(pending.Spec.Resources).Scale(pending.Spec.Estimate.Seconds() * float64(len(pending.Tasks))))
 	}
 	return b
 }
--- a/dispatch/balance.go
+++ b/dispatch/balance.go
@@ -25,30 +25,30 @@
 type arrivalStats struct {
 	// arrivalTimes holds the recent arrivals, the oldest first.
 	arrivalTimes []time.Time
-	// meanWork is the moving average of the work per job, in thousandths of a core times seconds.
-	meanWork float64
+	// meanWork is the moving average of the work per job.
+	meanWork balance.Amount
 }
 
-// workRate returns the work that arrives per second, in thousandths of a core. It multiplies the number of
+// workRate returns the work that arrives per second. It multiplies the number of
 // recent jobs by the mean work per job instead of adding up their work, because the window contains too few
 // jobs for that: the work per job varies by an order of magnitude. It drops arrivals before the window.
-func (s *arrivalStats) workRate(now time.Time) float64 {
+func (s *arrivalStats) workRate(now time.Time) balance.Amount {
 	first := 0
 	for first < len(s.arrivalTimes) && now.Sub(s.arrivalTimes[first]) > arrivalWindow {
 		first++
 	}
 	s.arrivalTimes = s.arrivalTimes[first:]
-	return float64(len(s.arrivalTimes)) * s.meanWork / arrivalWindow.Seconds()
+	return s.meanWork.Scale(float64(len(s.arrivalTimes)) / arrivalWindow.Seconds())
 }
 
 // add records the arrival of a job with the given work.
-func (s *arrivalStats) add(now time.Time, work float64) {
+func (s *arrivalStats) add(now time.Time, work balance.Amount) {
 	s.arrivalTimes = append(s.arrivalTimes, now)
-	if s.meanWork == 0 {
+	if s.meanWork == (balance.Amount{}) {
 		s.meanWork = work
 		return
 	}
-	s.meanWork += meanWorkSmoothing * (work - s.meanWork)
+	s.meanWork = s.meanWork.Add(work.Sub(s.meanWork).Scale(meanWorkSmoothing))
 }
 
 // recordArrival records the work of a new job. Scheduled jobs and jobs with long-running steps do not
@@ -57,10 +57,10 @@
 	if j.Spec.RepeatCount > 0 || j.Spec.HasLongRunningStep() {
 		return
 	}
-	var work float64
+	var work balance.Amount
 	for i := range j.Spec.Steps {
 		step := &j.Spec.Steps[i]
-		work += float64(step.Count) * d.taskWork(step)
+		work = work.Add(taskWork(step).Scale(float64(step.Count)))
 	}
 	stats := d.arrivals[j.queue.Name]
 	if stats == nil {
@@ -70,9 +70,9 @@
 	stats.add(now, work)
 }
 
-// taskWork returns the estimated work of one task in thousandths of a core times seconds.
-func (d *Dispatcher) taskWork(step *task.Step) float64 {
-	return float64(step.Reservation().CPU) * step.Estimate.Seconds()
+// taskWork returns the estimated work of one task.
+func taskWork(step *task.Step) balance.Amount {
+	return balance.AmountOf(step.Reservation()).Scale(step.Estimate.Seconds())
 }
 
 // rebalancePools moves machines to the pools that need them.
@@ -89,7 +89,7 @@
 	}
 	for name, stats := range d.arrivals {
 		if q, ok := d.config.Queue(name); ok && pools[q.Pool] != nil {
-			pools[q.Pool].ArrivalRate += stats.workRate(now)
+			pools[q.Pool].ArrivalRate = pools[q.Pool].ArrivalRate.Add(stats.workRate(now))
 		}
 	}
 	d.addBacklog(pools, now)
@@ -126,8 +126,8 @@
 		}
 		d.shortPoolLoggedAt[p.Name] = now
 		idle, pinned, busy := p.MachineCounts()
-		d.log.Info(eventPoolShort, "pool", p.Name, "deficit", int64(deficit), "incoming", p.IncomingCapacity,
-			"arriving", int64(p.ArrivalRate), "backlog", int64(p.Backlog), "reserved", p.BatchReserved, "lasting", p.LongRunningReserved,
+		d.log.Info(eventPoolShort, "pool", p.Name, "deficit", deficit, "incoming", p.IncomingCapacity,
+			"arriving", p.ArrivalRate, "backlog", p.Backlog, "reserved", p.BatchReserved, "lasting", p.LongRunningReserved, "stranded", p.StrandedMachines,
 			"idle", idle, "pinned", pinned, "busy", busy,
 			"idleDonors", idleMachines-idle, "pinnedDonors", pinnedMachines-pinned, "busyDonors", busyMachines-busy)
 	}
@@ -162,18 +162,23 @@
 // addBacklog adds the waiting tasks to their pools: the reservations of long-running tasks and the work of all
 // others.
 func (d *Dispatcher) addBacklog(pools map[pool.Name]*balance.Pool, now time.Time) {
+	machine := d.largestMachine()
 	for name, pending := range d.pendingSteps(now) {
 		b := pools[name]
 		if b == nil {
 			continue
 		}
+		var stranded strandedTasks
 		for _, step := range pending {
+			count := float64(len(step.Tasks))
 			if step.Spec.LongRunning {
-				b.LongRunningReserved += step.Spec.Reservation().CPU * int64(len(step.Tasks))
+				b.LongRunningReserved = b.LongRunningReserved.Add(balance.AmountOf(step.Spec.Reservation()).Scale(count))
+				d.addStranded(&stranded, step, machine, now)
 				continue
 			}
-			b.Backlog += d.taskWork(&step.Spec) * float64(len(step.Tasks))
+			b.Backlog = b.Backlog.Add(taskWork(&step.Spec).Scale(count))
 		}
+		b.StrandedMachines = stranded.machines(machine)
 	}
 }
 
@@ -182,7 +187,7 @@
 	order, ordered := d.maintenance.pendingOrders[m.ID]
 	if ordered && order.toPool != "" {
 		if b := pools[order.toPool]; b != nil {
-			b.IncomingCapacity += m.Capacity.CPU
+			b.IncomingCapacity = b.IncomingCapacity.Add(balance.AmountOf(m.Capacity))
 		}
 		return
 	}
@@ -190,17 +195,17 @@
 	if b == nil {
 		return
 	}
-	machine := balance.Machine{ID: m.ID, MilliCores: m.Capacity.CPU}
+	machine := balance.Machine{ID: m.ID, Capacity: balance.AmountOf(m.Capacity)}
 	machine.Pinned = ordered || m.State != worker.MachineUp || d.isReservedByEarlierOwner(m.ID, now)
 	if s != nil {
 		machine.Idle = len(s.runs) == 0
 		machine.IdleSince = s.idleSince
 		machine.Pinned = machine.Pinned || s.drainingForMaintenance || !s.isSettled() || s.registration.State != worker.StateReady
 		for _, r := range s.runs {
-			if r.step.LongRunning {
-				b.LongRunningReserved += r.reservation.CPU
+			if reservation := balance.AmountOf(r.reservation); r.step.LongRunning {
+				b.LongRunningReserved = b.LongRunningReserved.Add(reservation)
 			} else {
-				b.BatchReserved += r.reservation.CPU
+				b.BatchReserved = b.BatchReserved.Add(reservation)
 			}
 		}
 	} else {
--- a/dispatch/wait.go
+++ b/dispatch/wait.go
@@ -45,20 +45,11 @@
 // index is negative if the step has none.
 func (d *Dispatcher) longestWait(p *schedule.PendingStep) (index int, since time.Time) {
 	index = -1
-	j := d.jobs[p.Job]
-	if !p.Spec.LongRunning || j == nil {
+	if !p.Spec.LongRunning {
 		return index, since
 	}
 	for _, i := range p.Tasks {
-		t := j.Task(task.Key{Job: p.Job, Occurrence: p.Occurrence, Step: p.Step, Task: i})
-		if len(t.Placements) > 0 {
-			continue // placed by the last plan
-		}
-		waitingSince := t.NotBefore
-		if waitingSince.Before(j.AcceptedAt) {
-			waitingSince = j.AcceptedAt
-		}
-		if index < 0 || waitingSince.Before(since) {
+		if waitingSince, ok := d.waitingSince(p, i); ok && (index < 0 || waitingSince.Before(since)) {
 			index, since = i, waitingSince
 		}
 	}
