schedule: workers empty for long-running tasks that no worker has room for

A plan now holds a worker for each long-running task that finds no room, at most eight: no other task starts there until the task fits. It chooses workers whose other long-running tasks leave enough, and of those the ones that have to free the least. Reserving a share of each pool for long-running tasks was weighed; it costs machines at all times.

TestLongRunningTaskStarves fails before: the task has not started after four of the longest tasks.

--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -65,6 +65,8 @@
 	rack               string
 	lease              worker.Lease
 	runs               map[runID]*run
+	// longRunningReserved is the part of reserved that long-running runs need.
+	longRunningReserved task.Resources
 	// longRunningRuns, latencySensitiveRuns and bestEffortRuns are the numbers of long-running runs, of those with a latency
 	// target and of best-effort ones.
 	longRunningRuns, latencySensitiveRuns, bestEffortRuns int
@@ -181,10 +183,15 @@
 	s.countRun(r, 1)
 }
 
-// countRun adds change to the numbers of runs of the kind of a run.
+// countRun adds change, which is 1 or -1, to the numbers and reservations of runs of the kind of a run.
 func (s *workerState) countRun(r *run, change int) {
 	if r.step.LongRunning {
 		s.longRunningRuns += change
+		if change > 0 {
+			s.longRunningReserved = s.longRunningReserved.Add(r.reservation)
+		} else {
+			s.longRunningReserved = s.longRunningReserved.Sub(r.reservation)
+		}
 	}
 	if r.step.LatencyTarget > 0 {
 		s.latencySensitiveRuns += change
--- a/schedule/plan_test.go
+++ b/schedule/plan_test.go
@@ -139,3 +139,54 @@
 		require.Equal(t, expected, planned)
 	})
 }
+
+// TestLongRunningTaskStarves guards against a long-running task that does not run for as long as a burst of smaller tasks
+// lasts, because those take the memory that each end of a task frees, and against workers that are held in vain.
+func TestLongRunningTaskStarves(t *testing.T) {
+	const workerCount, smallTasks, longestTask, submittedAt = 5, 5, 75, 100
+	now := time.UnixMilli(0)
+	small := task.Step{Count: 1, Resources: task.Resources{CPU: 100, Memory: 6000}}
+	large := task.Step{Count: 1, LongRunning: true, Resources: task.Resources{CPU: 100, Memory: 20000}}
+	capacity := task.Resources{CPU: 16000, Memory: 32000}
+	byID := map[worker.ID]*schedule.Worker{}
+	var workers []*schedule.Worker
+	for i := range workerCount {
+		w := &schedule.Worker{ID: worker.ID(fmt.Sprint(i)), Capacity: capacity, Free: capacity}
+		workers, byID[w.ID] = append(workers, w), w
+	}
+	workers[0].LongRunningReserved = task.Resources{Memory: 20000} // never empties far enough
+	workers[0].Free = capacity.Sub(workers[0].LongRunningReserved)
+	ends := map[int][]worker.ID{}
+	started, count := -1, 0
+	for tick := range submittedAt + 4*longestTask {
+		for _, id := range ends[tick] {
+			byID[id].Free = byID[id].Free.Add(small.Resources)
+		}
+		pending := []*schedule.PendingStep{{Job: "large", Spec: large, Tasks: []int{0}, HardDeadline: now.Add(time.Hour)}}
+		if tick < submittedAt || started >= 0 {
+			pending = nil
+		}
+		for i := range workerCount * smallTasks {
+			pending = append(pending, &schedule.PendingStep{Job: task.JobID(fmt.Sprint(tick, "-", i)), Spec: small, Tasks: []int{0}, HardDeadline: now.Add(time.Hour)})
+		}
+		planned := make([]*schedule.Worker, len(workers))
+		for i, w := range workers {
+			copied := *w
+			planned[i] = &copied
+		}
+		for _, a := range schedule.Plan(now, planned, pending) {
+			w := byID[a.Worker]
+			w.Free = w.Free.Sub(a.Pending.Spec.Resources)
+			if a.Pending.Spec.LongRunning {
+				started = tick
+				require.NotEqual(t, workers[0].ID, w.ID)
+				continue
+			}
+			count++
+			end := tick + longestTask - 13*count%50 // ends are spread over time
+			ends[end] = append(ends[end], w.ID)
+		}
+	}
+	require.Positive(t, started, "the task has not started")
+	require.LessOrEqual(t, started, submittedAt+longestTask, "it waits for longer than the tasks take that it waits for")
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -21,6 +21,10 @@
 	Capacity task.Resources
 	// Free is the capacity that no task reserves.
 	Free task.Resources
+	// LongRunningReserved is the capacity that long-running tasks reserve; what other tasks reserve becomes free soon.
+	LongRunningReserved task.Resources
+	// held is set while the worker empties for a long-running task that no worker has room for.
+	held bool
 	// LatencySensitiveTasks is the number of its tasks that have a latency target.
 	LatencySensitiveTasks int
 	// BestEffortTasks is the number of its tasks that use only idle CPU time.
@@ -147,14 +151,16 @@
 	free := largestFree(workers)
 	var candidates []*PendingStep
 	for _, p := range pending {
-		if free.CanFit(p.Spec.Reservation()) {
+		if p.Spec.LongRunning || free.CanFit(p.Spec.Reservation()) {
 			candidates = append(candidates, p)
 		}
 	}
 	SortByUrgency(candidates, now)
 	var full shortage
+	maxHeld := maxHeldWorkers
 	for _, p := range candidates {
 		if !free.CanFit(p.Spec.Reservation()) || full.affects(p) {
+			maxHeld -= holdWorkers(p, min(len(p.Tasks), maxHeld), workers)
 			continue
 		}
 		var placed []Assignment
@@ -165,6 +171,7 @@
 		}
 		if len(placed) < len(p.Tasks) {
 			full.add(p)
+			maxHeld -= holdWorkers(p, min(len(p.Tasks)-len(placed), maxHeld), workers)
 		}
 		if len(placed) > 0 {
 			assignments = append(assignments, placed...)
@@ -174,6 +181,51 @@
 	return assignments
 }
 
+// maxHeldWorkers limits the workers that one plan holds, since they do less work meanwhile.
+const maxHeldWorkers = 8
+
+// holdWorkers holds workers for long-running tasks that found no room, one for each of count tasks. Other tasks start
+// elsewhere in this plan, so that the workers empty: otherwise, in a burst of smaller tasks, whatever becomes free is taken
+// before it is enough. It prefers the workers that have to free the least, and returns how many it holds.
+func holdWorkers(p *PendingStep, count int, workers []*Worker) int {
+	if !p.Spec.LongRunning || p.Spec.Gang {
+		return 0
+	}
+	needed := p.Spec.Reservation()
+	for held := range count {
+		var best *Worker
+		var lowest float64
+		for _, w := range workers {
+			if w.held || w.Draining || !w.Capacity.Sub(w.LongRunningReserved).CanFit(needed) || p.hasOtherObstacle(w) {
+				continue
+			}
+			if missing := missingShare(needed, w); best == nil || missing < lowest {
+				best, lowest = w, missing
+			}
+		}
+		if best == nil {
+			return held
+		}
+		best.held = true
+	}
+	return count
+}
+
+// hasOtherObstacle reports whether something other than missing capacity keeps the tasks of the step from a worker.
+func (p *PendingStep) hasOtherObstacle(w *Worker) bool {
+	empty := *w
+	empty.Free, empty.CrashSuspects = w.Capacity, 0
+	return FindObstacle(p, 0, &empty) != ObstacleNone
+}
+
+// missingShare returns how much more a worker has to free for a reservation, as a share of its capacity.
+func missingShare(needed task.Resources, w *Worker) float64 {
+	share := func(needed, free, capacity int64) float64 {
+		return max(0, float64(needed-free)/float64(max(capacity, 1)))
+	}
+	return max(share(needed.CPU, w.Free.CPU, w.Capacity.CPU), share(needed.Memory, w.Free.Memory, w.Capacity.Memory), share(needed.GPU, w.Free.GPU, w.Capacity.GPU))
+}
+
 // shortage holds requests for capacity that no worker, or no set of workers, can meet any more. Capacity only shrinks
 // during a plan, so that steps which request as much or more need not be tried. In an overload, thousands of steps wait
 // and each try compares a task with all workers. The zero value is empty.
@@ -282,6 +334,7 @@
 	ObstacleLabel    Obstacle = "label"    // the worker lacks the required label
 	ObstacleLimit    Obstacle = "limit"    // the worker has as many tasks of the step as it may
 	ObstacleTicket   Obstacle = "ticket"   // the advice service has issued no ticket for the worker
+	ObstacleHeld     Obstacle = "held"     // the worker empties for a long-running task
 )
 
 // FindObstacle returns what prevents a task of the step from starting on a worker. The tasks of a gang have to run
@@ -289,6 +342,8 @@
 func FindObstacle(p *PendingStep, index int, w *Worker) Obstacle {
 	needed := p.Spec.Reservation()
 	switch {
+	case w.held && !p.Spec.LongRunning:
+		return ObstacleHeld
 	case p.CrashSuspects[index] && w.CrashSuspects > 0 && !p.Spec.Gang:
 		return ObstacleSuspect
 	case w.Free.CPU < needed.CPU:
