ledger, dispatch: new jobs are refused at once while writes wait for seconds in the queue of the ledger

Logs of the owner: every append is at its limit of 128 KB and takes 0.25 to 0.78 s while the processor is saturated, so that the queue behind it grew to seconds. The owner refused new jobs only by the age of the current append, which never exceeds 0.8 s.

A new job is now also refused, with the delay as Retry-After, while the oldest write without an outcome has waited for more than 1.2 s (Ledger.Delay): nothing of it has run, and its caller has time for another attempt.

--- a/dispatch/requests.go
+++ b/dispatch/requests.go
@@ -14,6 +14,9 @@
 	// maxAppendDelay is how long the store may leave an append unanswered before new jobs are refused. A
 	// slow store answers in about 0.4 s.
 	maxAppendDelay = 700 * time.Millisecond
+	// maxQueueDelay is how long writes may wait for their turn and for the store before new jobs are refused. It is longer
+	// than two appends of a slow store take, and leaves callers the time for another attempt.
+	maxQueueDelay = 1200 * time.Millisecond
 	// storeRetryDelay is when a caller may try again after a refusal because of the store.
 	storeRetryDelay = time.Second
 )
@@ -48,6 +51,9 @@
 	if d.ledger.StalledFor() > maxAppendDelay {
 		return nil, refusalReply("the store does not answer", storeRetryDelay)
 	}
+	if delay := d.ledger.Delay(); delay > maxQueueDelay {
+		return nil, refusalReply("the writes of earlier jobs wait for their turn", max(delay, storeRetryDelay))
+	}
 	q, ok := d.config.Queue(name)
 	if !ok {
 		return nil, refusalReply("the queue is not configured yet", openRetryDelay)
--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -61,6 +61,7 @@
 	callback Callback
 	// optional writes are withdrawn while the store does not accept them.
 	optional bool
+	queuedAt time.Time
 }
 
 // Ledger stores records in the order in which they are written. Use Open to create one.
@@ -85,8 +86,9 @@
 	wake      chan struct{}
 	// sequence is the sequence number of the last append. Only Open and Run use it, without the lock.
 	sequence platform.Sequence
-	// stalledSince is when the current append was first sent; zero once the store has confirmed it.
-	stalledSince time.Time
+	// stalledSince is when the current append was first sent; zero once the store has confirmed it. oldestSent is when
+	// its first write was queued.
+	stalledSince, oldestSent time.Time
 }
 
 // Open fences earlier writers of a partition and returns its ledger together with all stored records.
@@ -144,6 +146,7 @@
 
 func (l *Ledger) enqueue(w write) {
 	callback := w.callback
+	w.queuedAt = l.clock.Now()
 	l.mu.Lock()
 	err := l.closedErr
 	if err == nil {
@@ -172,6 +175,20 @@
 	return l.clock.Since(l.stalledSince)
 }
 
+// Delay returns how long the oldest write without an outcome has waited, in the queue or for the store; zero if there is
+// none. A new write takes about as long while the queue does not shrink.
+func (l *Ledger) Delay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case !l.stalledSince.IsZero():
+		return l.clock.Since(l.oldestSent)
+	case len(l.pending) > 0:
+		return l.clock.Since(l.pending[0].queuedAt)
+	}
+	return 0
+}
+
 // flushPollInterval is the interval at which Flush checks for pending writes.
 const flushPollInterval = 5 * time.Millisecond
 
@@ -220,7 +237,7 @@
 	batch := l.pending[:n:n]
 	l.pending = l.pending[n:]
 	if n > 0 {
-		l.stalledSince = l.clock.Now()
+		l.stalledSince, l.oldestSent = l.clock.Now(), batch[0].queuedAt
 	}
 	return batch
 }
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -29,9 +29,12 @@
 	appends     int
 	// maxBytes is the largest append that the connection transfers before it times out; zero means no limit.
 	maxBytes int
+	// appendTime is how long an append takes.
+	appendTime time.Duration
 }
 
 func (s *store) Append(_ context.Context, _ platform.Topic, partition int, _ platform.Producer, records []platform.Record) error {
+	time.Sleep(s.appendTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -259,3 +262,26 @@
 		}
 	}
 }
+
+// TestQueueDelayHidden guards against an owner that takes new jobs while earlier writes have waited for seconds, although
+// no single append takes long: their callers would wait until their deadlines.
+func TestQueueDelayHidden(t *testing.T) {
+	s := &store{up: true, appendTime: 40 * time.Millisecond}
+	l, _ := openAndRun(t, s)
+	require.Zero(t, l.Delay())
+	const writes, valueBytes = 40, 200_000 // more than one write does not go into an append
+	stored := make(chan error, writes)
+	begin := time.Now()
+	for range writes {
+		l.Write([]platform.Record{{Key: "a", Value: make([]byte, valueBytes)}}, func(err error) { stored <- err })
+	}
+	for range writes / 2 {
+		require.NoError(t, <-stored)
+	}
+	require.GreaterOrEqual(t, l.Delay(), writes/2*s.appendTime, "the next write has waited since the beginning")
+	require.Less(t, l.Delay(), time.Since(begin)+s.appendTime)
+	for range writes / 2 {
+		require.NoError(t, <-stored)
+	}
+	require.Eventually(t, func() bool { return l.Delay() == 0 }, waitTimeout, time.Millisecond)
+}
