--- a/balance/amount.go
+++ b/balance/amount.go
@@ -2,44 +2,36 @@
 
 import "hibiscuslane.example/hibiscuslane/task"
 
-// Amount is an amount of each resource: thousandths of a core, MB of memory and accelerators. Times seconds, it is an
-// amount of work.
-type Amount struct{ CPU, Memory, GPU float64 }
+// Amount is an amount of resources: thousandths of a core and MB of memory. Times seconds, it is an amount of work.
+// Accelerators are left out, since machines are not chosen by them.
+type Amount struct{ CPU, Memory float64 }
 
 // AmountOf converts resources of tasks or machines.
 func AmountOf(r task.Resources) Amount {
-	return Amount{CPU: float64(r.CPU), Memory: float64(r.Memory), GPU: float64(r.GPU)}
+	return Amount{CPU: float64(r.CPU), Memory: float64(r.Memory)}
 }
 
 // Add returns the sum of two amounts.
-func (a Amount) Add(b Amount) Amount {
-	return Amount{CPU: a.CPU + b.CPU, Memory: a.Memory + b.Memory, GPU: a.GPU + b.GPU}
-}
+func (a Amount) Add(b Amount) Amount { return Amount{CPU: a.CPU + b.CPU, Memory: a.Memory + b.Memory} }
 
 // Sub returns the difference of two amounts.
-func (a Amount) Sub(b Amount) Amount { return a.Add(b.Scale(-1)) }
+func (a Amount) Sub(b Amount) Amount { return Amount{CPU: a.CPU - b.CPU, Memory: a.Memory - b.Memory} }
 
 // Scale returns a multiple of the amount.
 func (a Amount) Scale(factor float64) Amount {
-	return Amount{CPU: a.CPU * factor, Memory: a.Memory * factor, GPU: a.GPU * factor}
+	return Amount{CPU: a.CPU * factor, Memory: a.Memory * factor}
 }
 
 // max returns the larger amount of each resource.
 func (a Amount) max(b Amount) Amount {
-	return Amount{CPU: max(a.CPU, b.CPU), Memory: max(a.Memory, b.Memory), GPU: max(a.GPU, b.GPU)}
+	return Amount{CPU: max(a.CPU, b.CPU), Memory: max(a.Memory, b.Memory)}
 }
 
-// machines returns how many machines of the given capacity have the amount, by the resource of which it takes most. It
-// leaves out resources that the machines do not have.
+// machines returns how many machines of the given capacity have the amount, by the resource of which it takes most.
 func (a Amount) machines(capacity Amount) float64 {
-	first, count := true, 0.0
-	for _, r := range [][2]float64{{a.CPU, capacity.CPU}, {a.Memory, capacity.Memory}, {a.GPU, capacity.GPU}} {
-		if r[1] <= 0 {
-			continue
-		}
-		if share := r[0] / r[1]; first || share > count {
-			first, count = false, share
-		}
+	count := a.CPU / max(capacity.CPU, 1)
+	if capacity.Memory > 0 {
+		count = max(count, a.Memory/capacity.Memory)
 	}
 	return count
 }
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -203,11 +203,12 @@
 	if !p.Spare && (p.StrandedMachines > 0 || available <= max(s.MinPerPool, p.MinMachines)) {
 		return -1
 	}
+	capacity := p.availableCapacity()
 	for i, m := range p.Machines {
 		if !m.Idle || m.Pinned || !idleBefore.IsZero() && m.IdleSince.After(idleBefore) {
 			continue
 		}
-		if p.Spare || p.deficitWith(p.availableCapacity().Sub(m.Capacity), s) <= 0 {
+		if p.Spare || p.deficitWith(capacity.Sub(m.Capacity), s) <= 0 {
 			return i
 		}
 	}
--- a/dispatch/stranded.go
+++ b/dispatch/stranded.go
@@ -31,8 +31,7 @@
 
 // machines returns how many empty machines with the given capacity take the tasks.
 func (s *strandedTasks) machines(capacity task.Resources) int {
-	needed := max(divideUp(s.reserved.CPU, capacity.CPU), divideUp(s.reserved.Memory, capacity.Memory), divideUp(s.reserved.GPU, capacity.GPU))
-	return max(needed, s.minMachines)
+	return max(divideUp(s.reserved.CPU, capacity.CPU), divideUp(s.reserved.Memory, capacity.Memory), s.minMachines)
 }
 
 // divideUp returns the quotient rounded up; zero if the divisor is.
@@ -44,10 +43,10 @@
 }
 
 // addStranded adds the tasks of a long-running step that have waited for strandedAfter. It leaves out those that an empty
-// machine of the given capacity may not take either: they are larger, or need a label or a ticket, which machines are not
-// chosen by.
+// machine of the given capacity may not take either: they are larger, or need an accelerator, a label or a ticket, which
+// machines are not chosen by.
 func (d *Dispatcher) addStranded(s *strandedTasks, p *schedule.PendingStep, machine task.Resources, now time.Time) {
-	if p.Spec.RequiredLabel != "" || p.Tickets != nil || !machine.CanFit(p.Spec.Reservation()) {
+	if p.Spec.RequiredLabel != "" || p.Tickets != nil || p.Spec.Resources.GPU > 0 || !machine.CanFit(p.Spec.Reservation()) {
 		return
 	}
 	count := 0
@@ -59,11 +58,11 @@
 	s.add(&p.Spec, count)
 }
 
-// largestMachine returns the largest capacity of any machine, for each resource.
+// largestMachine returns the largest number of cores and the largest memory of any machine.
 func (d *Dispatcher) largestMachine() task.Resources {
 	var largest task.Resources
 	for _, m := range d.maintenance.machines {
-		largest.CPU, largest.Memory, largest.GPU = max(largest.CPU, m.Capacity.CPU), max(largest.Memory, m.Capacity.Memory), max(largest.GPU, m.Capacity.GPU)
+		largest.CPU, largest.Memory = max(largest.CPU, m.Capacity.CPU), max(largest.Memory, m.Capacity.Memory)
 	}
 	return largest
 }
