--- a/balance/balance.go
+++ b/balance/balance.go
@@ -194,13 +194,8 @@
 // findSpareMachine returns the index of an idle machine that the pool can spare, or -1 if there is none. If idleBefore
 // is set, the machine must have been idle since then.
 func findSpareMachine(p *Pool, s Settings, idleBefore time.Time) int {
-	available := 0
-	for _, m := range p.Machines {
-		if !m.Pinned {
-			available++
-		}
-	}
-	if !p.Spare && (p.StrandedMachines > 0 || available <= max(s.MinPerPool, p.MinMachines)) {
+	idle, pinned, _ := p.MachineCounts()
+	if !p.Spare && (idle <= p.StrandedMachines || len(p.Machines)-pinned <= max(s.MinPerPool, p.MinMachines)) {
 		return -1
 	}
 	capacity := p.availableCapacity()
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -47,4 +47,10 @@
 	p.StrandedMachines = 2
 	p.Machines[0].Idle, p.Machines[1].Idle = true, true
 	require.Empty(t, balance.Plan(pools, balance.DefaultSettings(), time.Now()), "two machines are idle, and stay")
+	p, pools = newPools(26)
+	p.StrandedMachines = 2
+	for i := range 5 {
+		p.Machines[i].Idle = true
+	}
+	require.Len(t, balance.Plan(pools, balance.DefaultSettings(), time.Now()), 3, "more than two are not needed")
 }
