dispatch: a machine is maintained only once its tasks have ended and their ends are stored

Machines whose tasks do not end in the time that a wave leaves were maintained with their tasks.

Such a machine now takes no tasks, its tasks are stopped, and the order follows when every end is reported and stored, as it does for an idle machine. Maintenance ended the tasks anyway; the stops tell which of them were done.

TestMaintenanceHidesEnds fails before ("a task runs on the machine").

--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -354,10 +354,23 @@
 		d.drainMachine(w, workers[id], id, now)
 	}
 	for _, id := range plan.Maintain {
+		if s := workers[id]; s != nil && len(s.runs) > 0 {
+			d.emptyWorker(s, now)
+			continue
+		}
 		d.orderMaintenance(w, id, now)
 	}
 }
 
+// emptyWorker stops the tasks of a worker whose machine is to be maintained now, and places no more on it. Maintenance
+// would end them too, but their ends would not be reported: a task that was done a moment before would run again.
+func (d *Dispatcher) emptyWorker(s *workerState, now time.Time) {
+	s.closedForMaintenance = true
+	for _, r := range s.runs {
+		d.stopRun(r, now)
+	}
+}
+
 // poolLoads returns for each pool the share of its CPU capacity that running and waiting tasks reserve.
 func (d *Dispatcher) poolLoads(now time.Time) map[pool.Name]float64 {
 	requested, capacities := map[pool.Name]int64{}, map[pool.Name]int64{}
--- a/dispatch/maintenance_test.go
+++ b/dispatch/maintenance_test.go
@@ -7,8 +7,12 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/election"
+	"hibiscuslane.example/hibiscuslane/event"
+	"hibiscuslane.example/hibiscuslane/ledger"
+	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/queue"
 	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/wave"
 	"hibiscuslane.example/hibiscuslane/worker"
 )
 
@@ -63,3 +67,35 @@
 	require.Empty(t, d.maintenance.pendingOrders)
 	require.False(t, d.canTakeTasks(s), "a later worker has registered on the machine")
 }
+
+// TestMaintenanceHidesEnds guards against a task that runs again although it was done: its machine was maintained before the
+// owner had the report of the end. Tasks that do not end in time are stopped first, and their ends are stored.
+func TestMaintenanceHidesEnds(t *testing.T) {
+	d := newIdleDispatcher(t, queue.New(1, nil, []queue.Pool{{Name: "desk"}}))
+	d.fleet = &platform.Fleet{}
+	var err error
+	d.ledger, _, err = ledger.Open(t.Context(), &keyedStore{}, ledger.TopicJobs, 0, 1, d.clock, event.Log{}) // keeps its writes in the queue
+	require.NoError(t, err)
+	d.applyRegistration(entryRecord("w", "desk", 1000))
+	s := d.workers["w"]
+	now := d.clock.Now()
+	r := addRun(d, s, d.firstRunNumber(), phaseUnconfirmed)
+	d.applyReport(s, reportOf(1000, r), now, now)
+	d.maintenance.machines = map[worker.MachineID]worker.Machine{"m": {ID: "m", Pool: "desk", State: worker.MachineUp}}
+	w := d.findOrAddWave(1)
+	w.request = wave.Request{Number: 1, Machines: []worker.MachineID{"m"}, MaxUnavailable: 1}
+	w.startedAt, w.runningPublished, w.drainingSince["m"] = now.Add(-time.Minute), true, now.Add(-time.Minute)
+	d.advanceWave(w, now)
+	require.Empty(t, d.maintenance.pendingOrders, "a task runs on the machine")
+	require.Equal(t, phaseStopping, r.phase)
+	require.False(t, d.canTakeTasks(s))
+	report := reportOf(1000)
+	report.Ended = []worker.RunEnd{{Number: 1, Key: r.id.key, Run: r.id.number, Cause: worker.CauseDone}}
+	d.applyReport(s, report, now, now)
+	require.True(t, r.task().Done)
+	d.advanceWave(w, now)
+	require.Empty(t, d.maintenance.pendingOrders, "the end is not stored")
+	s.storedEnd = s.reportedEnd
+	d.advanceWave(w, now)
+	require.Contains(t, d.maintenance.pendingOrders, worker.MachineID("m"))
+}
