--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -323,7 +323,7 @@
 // Obstacle is what prevents a task from starting on a worker.
 type Obstacle string
 
-// Obstacles in the order in which they are checked.
+// Obstacles. Missing capacity is named before any other.
 const (
 	ObstacleNone     Obstacle = "none"
 	ObstacleSuspect  Obstacle = "suspect"  // another crash suspect is on the worker
@@ -340,18 +340,14 @@
 // FindObstacle returns what prevents a task of the step from starting on a worker. The tasks of a gang have to run
 // together, also if they are crash suspects.
 func FindObstacle(p *PendingStep, index int, w *Worker) Obstacle {
-	needed := p.Spec.Reservation()
+	if o := findShortage(p.Spec.Reservation(), w.Free); o != ObstacleNone {
+		return o
+	}
 	switch {
 	case w.held && !p.Spec.LongRunning:
 		return ObstacleHeld
 	case p.CrashSuspects[index] && w.CrashSuspects > 0 && !p.Spec.Gang:
 		return ObstacleSuspect
-	case w.Free.CPU < needed.CPU:
-		return ObstacleCPU
-	case w.Free.Memory < needed.Memory:
-		return ObstacleMemory
-	case w.Free.GPU < needed.GPU:
-		return ObstacleGPU
 	case w.Draining && p.Spec.LongRunning:
 		return ObstacleDraining
 	case p.Spec.RequiredLabel != "" && !slices.Contains(w.Labels, p.Spec.RequiredLabel):
@@ -367,6 +363,19 @@
 	return ObstacleNone
 }
 
+// findShortage returns the resource of which less is free than needed.
+func findShortage(needed, free task.Resources) Obstacle {
+	switch {
+	case free.CPU < needed.CPU:
+		return ObstacleCPU
+	case free.Memory < needed.Memory:
+		return ObstacleMemory
+	case free.GPU < needed.GPU:
+		return ObstacleGPU
+	}
+	return ObstacleNone
+}
+
 // chooseWorker returns the worker with the lowest cost for a task, or nil if the task may start on none.
 func chooseWorker(p *PendingStep, index int, workers []*Worker) *Worker {
 	var best *Worker
