dispatch: tasks on a machine that is due for maintenance may end on their own for 8 s

The machine still takes no more tasks at once; what does not end within 8 s is stopped. A wave may be late by that time.

TestMaintenanceHidesEnds checks both.

--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -26,6 +26,8 @@
 	// minFullSpeedTime is how long a task must have been at full speed before another task of its step may
 	// be evicted.
 	minFullSpeedTime = 700 * time.Millisecond
+	// maxCloseTime is how long the tasks of a worker whose machine is to be maintained may run on before they are stopped.
+	maxCloseTime = 8 * time.Second
 	// statusPartition is the only partition of the status records that operators read.
 	statusPartition = 0
 	// waveKeyPrefix is the prefix of the ledger keys under which the progress of waves is stored.
@@ -362,10 +364,16 @@
 	}
 }
 
-// emptyWorker stops the tasks of a worker whose machine is to be maintained now, and places no more on it. Maintenance
-// would end them too, but their ends would not be reported: a task that was done a moment before would run again.
+// emptyWorker places no more tasks on a worker whose machine is to be maintained now, and stops those that do not end within
+// maxCloseTime. Maintenance would end them too, but their ends would not be reported: a task that was done a moment before
+// would run again.
 func (d *Dispatcher) emptyWorker(s *workerState, now time.Time) {
-	s.closedForMaintenance = true
+	if s.closedSince.IsZero() {
+		s.closedSince = now
+	}
+	if now.Sub(s.closedSince) < maxCloseTime {
+		return
+	}
 	for _, r := range s.runs {
 		d.stopRun(r, now)
 	}
--- a/dispatch/maintenance_test.go
+++ b/dispatch/maintenance_test.go
@@ -87,8 +87,12 @@
 	w.startedAt, w.runningPublished, w.drainingSince["m"] = now.Add(-time.Minute), true, now.Add(-time.Minute)
 	d.advanceWave(w, now)
 	require.Empty(t, d.maintenance.pendingOrders, "a task runs on the machine")
-	require.Equal(t, phaseStopping, r.phase)
 	require.False(t, d.canTakeTasks(s))
+	require.Equal(t, phaseRunning, r.phase, "it may end on its own")
+	now = now.Add(maxCloseTime)
+	d.advanceWave(w, now)
+	require.Empty(t, d.maintenance.pendingOrders, "a task runs on the machine")
+	require.Equal(t, phaseStopping, r.phase)
 	report := reportOf(1000)
 	report.Ended = []worker.RunEnd{{Number: 1, Key: r.id.key, Run: r.id.number, Cause: worker.CauseDone}}
 	d.applyReport(s, report, now, now)
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -107,8 +107,8 @@
 	idleSince time.Time
 	// drainingForMaintenance is set while the machine is drained for maintenance.
 	drainingForMaintenance bool
-	// closedForMaintenance is set once the tasks of the worker are stopped so that its machine can be maintained.
-	closedForMaintenance bool
+	// closedSince is when the worker was closed to tasks so that its machine can be maintained; zero if it is open.
+	closedSince time.Time
 	// unattributedCrash is set while it is not known which runs a crash of the worker has ended.
 	unattributedCrash *crash
 }
