dispatch: a worker that was closed for maintenance and keeps running is opened again

If the platform confirms an order that it had carried out earlier, no new worker comes, and the closed one got no tasks for the rest of the term. It is opened once its machine is no longer due.

TestMaintainedWorkerUnused fails without it (canTakeTasks is false).

--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -256,6 +256,7 @@
 	now := d.clock.Now()
 	for _, s := range d.workers {
 		s.drainingForMaintenance = false
+		d.reopenWorker(s)
 		d.endIncarnationIfUnavailable(s, requestedAt, now)
 	}
 	d.settleOrders(requestedAt)
@@ -379,6 +380,14 @@
 	}
 }
 
+// reopenWorker opens a worker to tasks again whose machine is no longer due for maintenance. If the platform confirms an order
+// that it has carried out earlier, the worker keeps running.
+func (d *Dispatcher) reopenWorker(s *workerState) {
+	if !s.closedSince.IsZero() && !d.maintenance.isMaintenanceDue(s.registration.Machine) {
+		s.closedSince = time.Time{}
+	}
+}
+
 // poolLoads returns for each pool the share of its CPU capacity that running and waiting tasks reserve.
 func (d *Dispatcher) poolLoads(now time.Time) map[pool.Name]float64 {
 	requested, capacities := map[pool.Name]int64{}, map[pool.Name]int64{}
--- a/dispatch/maintenance_test.go
+++ b/dispatch/maintenance_test.go
@@ -103,3 +103,21 @@
 	d.advanceWave(w, now)
 	require.Contains(t, d.maintenance.pendingOrders, worker.MachineID("m"))
 }
+
+// TestMaintainedWorkerUnused guards against a worker that gets no tasks any more: its machine was closed for maintenance, and
+// the platform has confirmed an order that it had carried out earlier, so that the worker keeps running.
+func TestMaintainedWorkerUnused(t *testing.T) {
+	d := newIdleDispatcher(t, queue.New(1, nil, []queue.Pool{{Name: "desk"}}))
+	d.applyRegistration(entryRecord("w", "desk", 1000))
+	s := d.workers["w"]
+	now := d.clock.Now()
+	d.applyReport(s, reportOf(1000), now, now)
+	w := d.findOrAddWave(1)
+	w.includes = map[worker.MachineID]bool{"m": true}
+	d.emptyWorker(s, now)
+	d.reopenWorker(s)
+	require.False(t, d.canTakeTasks(s), "maintenance is due")
+	w.maintained["m"] = true
+	d.reopenWorker(s)
+	require.True(t, d.canTakeTasks(s))
+}
