dispatch, ingress: log lines for requests whose job does not exist

A 410 acknowledges a cancel and left no line, neither at the entry nor at the owner. job.missing of the owner (its epoch is in the line) and request.missing of the entry tell who said it, and whether the store had confirmed the term.

--- a/dispatch/requests.go
+++ b/dispatch/requests.go
@@ -121,7 +121,7 @@
 	}
 	j := d.jobs[id]
 	if j == nil {
-		return nil, &relay.Reply{Verdict: relay.Verdict_MISSING}
+		return nil, d.missingReply(id, relay.Verb_CANCEL)
 	}
 	if j.Outcome == "" {
 		d.log.Info(eventJobCancelled, "job", id, "running", j.activeRuns)
@@ -133,6 +133,12 @@
 	return d.watchWrite(j), nil
 }
 
+// missingReply returns the reply to a request for a job that this owner does not know.
+func (d *Dispatcher) missingReply(id task.JobID, verb relay.Verb) *relay.Reply {
+	d.log.Info(eventJobMissing, "job", id, "verb", verb.String(), "confirmed", d.mayOrder())
+	return &relay.Reply{Verdict: relay.Verdict_MISSING}
+}
+
 // JobState returns the state of a job. A final state is shown only once it is stored.
 func (d *Dispatcher) JobState(id task.JobID) *relay.Reply {
 	d.mu.Lock()
@@ -142,7 +148,7 @@
 	}
 	j := d.jobs[id]
 	if j == nil {
-		return &relay.Reply{Verdict: relay.Verdict_MISSING}
+		return d.missingReply(id, relay.Verb_STATE)
 	}
 	state := j.State()
 	if state.IsFinal() && !j.isDurable() {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -35,6 +35,7 @@
 	eventRefused     = event.Define(2450, "request.refused", "a request was not carried out")
 	eventUnknown     = event.Define(2451, "request.unknown", "a request may or may not have been carried out")
 	eventInvalid     = event.Define(2452, "request.invalid", "a request is malformed")
+	eventMissing     = event.Define(2454, "request.missing", "the job of a request does not exist; this acknowledges a cancel")
 	eventReplyUnsent = event.Define(2453, "answer.unsent", "a caller disconnected before the reply was written")
 )
 
@@ -143,6 +144,7 @@
 	case relay.Verdict_DONE:
 		h.writeResult(w, request, reply)
 	case relay.Verdict_MISSING:
+		h.Log.Info(eventMissing, "job", request.Job, "queue", request.Queue, "verb", request.Verb.String())
 		w.WriteHeader(http.StatusGone)
 	case relay.Verdict_INVALID:
 		h.Log.Info(eventInvalid, "job", request.Job, "queue", request.Queue, "reason", reply.Reason)
