dispatch: failing tests for cancels that are acknowledged and not kept

Callers saw 410 for the cancel of an accepted job, which then started. Both tests fail: an owner whose term has ended answers from its memory, and the cancel of an unknown job is not remembered, so that a submission that arrives later runs.

--- a/dispatch/persistence_test.go
+++ b/dispatch/persistence_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"net/http"
 	"slices"
 	"sync"
 	"testing"
@@ -18,16 +19,21 @@
 	"hibiscuslane.example/hibiscuslane/timer"
 )
 
-// keyedStore is an in-memory store that keeps the newest record of each key.
+// keyedStore is an in-memory store that keeps the newest record of each key and rejects appends of earlier epochs.
 type keyedStore struct {
 	mu      sync.Mutex
 	records map[string]platform.Record
+	epoch   platform.Epoch
 }
 
 // Append implements ledger.Store.
-func (s *keyedStore) Append(_ context.Context, _ platform.Topic, _ int, _ platform.Producer, records []platform.Record) error {
+func (s *keyedStore) Append(_ context.Context, _ platform.Topic, _ int, producer platform.Producer, records []platform.Record) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if producer.Epoch < s.epoch {
+		return &platform.StatusError{Call: "append", Status: http.StatusConflict, Reason: "fenced"}
+	}
+	s.epoch = producer.Epoch
 	s.apply(records)
 	return nil
 }
@@ -52,13 +58,15 @@
 }
 
 // newOwner returns a dispatcher that has restored the records of a store and writes to it.
-func newOwner(t *testing.T, s *keyedStore) *Dispatcher {
+func newOwner(t *testing.T, s *keyedStore) *Dispatcher { return newOwnerOfEpoch(t, s, 1) }
+
+func newOwnerOfEpoch(t *testing.T, s *keyedStore, epoch platform.Epoch) *Dispatcher {
 	t.Helper()
 	clock := &timer.Service{}
-	l, records, err := ledger.Open(t.Context(), s, ledger.TopicJobs, 0, 1, clock, event.Log{})
+	l, records, err := ledger.Open(t.Context(), s, ledger.TopicJobs, 0, epoch, clock, event.Log{})
 	require.NoError(t, err)
 	go func() { _ = l.Run(t.Context()) }() // ends with the test
-	d := New(t.Context(), election.Gained{Epoch: 1}, Options{Clock: clock})
+	d := New(t.Context(), election.Gained{Epoch: epoch}, Options{Clock: clock})
 	d.restore(l, records)
 	return d
 }
--- /dev/null
+++ b/dispatch/requests_test.go
@@ -0,0 +1,63 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/queue"
+	"hibiscuslane.example/hibiscuslane/relay"
+	"hibiscuslane.example/hibiscuslane/task"
+)
+
+const (
+	testQueue queue.Name = "queue"
+	testJob   task.JobID = "00000000000000aa"
+)
+
+var testSpec = task.Spec{Steps: []task.Step{{Count: 1}}}
+
+// newServingOwner returns an owner that accepts jobs for testQueue and writes changes until the test ends.
+func newServingOwner(t *testing.T, s *keyedStore, epoch platform.Epoch) *Dispatcher {
+	t.Helper()
+	d := newOwnerOfEpoch(t, s, epoch)
+	d.SetConfig(queue.New(1, []queue.Queue{{Name: testQueue, Pool: "pool"}}, []queue.Pool{{Name: "pool"}}))
+	go func() {
+		for d.clock.Sleep(t.Context(), time.Millisecond) == nil {
+			d.mu.Lock()
+			d.writeDirtyJobs()
+			d.mu.Unlock()
+		}
+	}()
+	return d
+}
+
+// acknowledgesCancel reports whether the caller of a cancel takes the reply for an acknowledgement.
+func acknowledgesCancel(reply *relay.Reply) bool {
+	return reply.Verdict == relay.Verdict_DONE || reply.Verdict == relay.Verdict_MISSING
+}
+
+// TestPausedOwnerAcknowledgesCancel guards against a job that starts after its cancel was acknowledged: an owner that was
+// paused while a later one accepted the job does not know the job.
+func TestPausedOwnerAcknowledgesCancel(t *testing.T) {
+	s := &keyedStore{}
+	paused := newServingOwner(t, s, 1)
+	later := newServingOwner(t, s, 2)
+	require.Equal(t, relay.Verdict_DONE, later.Submit(t.Context(), testQueue, testJob, testSpec).Verdict)
+	require.False(t, acknowledgesCancel(paused.Cancel(t.Context(), testJob)))
+}
+
+// TestCancelOvertakesSubmission guards against a job that runs although its cancel was acknowledged before the submission
+// arrived, which another entry may have delayed, and against one that a later owner accepts after that.
+func TestCancelOvertakesSubmission(t *testing.T) {
+	s := &keyedStore{}
+	d := newServingOwner(t, s, 1)
+	require.True(t, acknowledgesCancel(d.Cancel(t.Context(), testJob)))
+	require.True(t, acknowledgesCancel(d.Cancel(t.Context(), testJob)), "a repeated cancel")
+	require.Equal(t, relay.Verdict_REFUSED, d.Submit(t.Context(), testQueue, testJob, testSpec).Verdict)
+	later := newServingOwner(t, s, 2)
+	require.Equal(t, relay.Verdict_REFUSED, later.Submit(t.Context(), testQueue, testJob, testSpec).Verdict)
+	require.Empty(t, d.Counters().OpenJobs+later.Counters().OpenJobs)
+}
