dispatch: a cancel is acknowledged only once it is stored

Callers that cancelled an accepted job got 410, which acknowledges a cancel, and the job was started afterwards.

Cause: the cancel of a job that the owner does not know was answered from its memory. Two ways lead there. An owner that was paused while a later one took over does not know the jobs of the later one; a request that waits in its socket and the timer that ends its term are due at the same moment. And nothing remembered the cancel of an unknown job, so that a submission that a paused entry or a connection had held back was accepted after it.

Change: such a cancel is stored as the final state of a job without submission, and answered when it is. The store rejects the write of an owner that a later one has followed, whether or not that owner has noticed. A submission that arrives within the retention is refused, also by later owners; Retry-After is what is left of the retention. The caller still gets 410. While the store takes no writes, such cancels are refused as new jobs are, instead of acknowledged.

That a term is confirmed would not have been enough: it counts as confirmed for 4 s, and a silent owner is replaced after about 1.4 s.

--- a/dispatch/persistence.go
+++ b/dispatch/persistence.go
@@ -189,7 +189,7 @@
 // changedRecords returns the ledger records to write for a job. The first call includes the submission; for
 // a job that has ended, the submission is deleted.
 func (d *Dispatcher) changedRecords(j *job) []platform.Record {
-	withSubmission := !j.submissionQueued
+	withSubmission := !j.submissionQueued && !j.Unsubmitted
 	j.submissionQueued = true
 	records, ok := d.encodeJob(j, withSubmission)
 	if ok && j.Outcome != "" {
@@ -350,12 +350,17 @@
 	d.openJobs[i] = j
 }
 
+// retentionLeft returns for how long an ended job is still kept.
+func (d *Dispatcher) retentionLeft(j *job, now time.Time) time.Duration {
+	return d.timing.StatusRetention + retentionMargin - now.Sub(j.EndedAt)
+}
+
 // dropEndedJobs deletes ended jobs whose state no longer has to be retained. If the term of an owner ended while its
 // ledger moved, the submission of an ended job may still be stored, and the job would run again without its progress.
 func (d *Dispatcher) dropEndedJobs(now time.Time) {
 	var records []platform.Record
 	for id, j := range d.jobs {
-		if j.Outcome == "" || now.Sub(j.EndedAt) < d.timing.StatusRetention+retentionMargin || len(records) >= recordsPerDrop*maxDropsPerWrite {
+		if j.Outcome == "" || d.retentionLeft(j, now) > 0 || len(records) >= recordsPerDrop*maxDropsPerWrite {
 			continue
 		}
 		records = append(records, platform.Record{Key: submissionKeyPrefix + string(id)}, platform.Record{Key: progressKeyPrefix + string(id)})
--- a/dispatch/requests.go
+++ b/dispatch/requests.go
@@ -39,26 +39,23 @@
 	if d.ledger == nil {
 		return nil, refusalReply("the stored jobs are not loaded yet", openRetryDelay)
 	}
+	now := d.clock.Now()
 	if j := d.jobs[id]; j != nil {
-		if j.stored {
+		switch {
+		case j.Unsubmitted:
+			return nil, refusalReply("the job was cancelled before it was submitted", max(d.retentionLeft(j, now), openRetryDelay))
+		case j.stored:
 			return nil, &relay.Reply{Verdict: relay.Verdict_DONE}
 		}
 		return d.watchWrite(j), nil
 	}
-	if d.draining {
-		return nil, refusalReply("the owner is stopping", openRetryDelay)
-	}
-	if d.ledger.StalledFor() > maxAppendDelay {
-		return nil, refusalReply("the store does not answer", storeRetryDelay)
-	}
-	if delay := d.ledger.Delay(); delay > maxQueueDelay {
-		return nil, refusalReply("the writes of earlier jobs wait for their turn", max(delay, storeRetryDelay))
+	if reply := d.refuseWrite(); reply != nil {
+		return nil, reply
 	}
 	q, ok := d.config.Queue(name)
 	if !ok {
 		return nil, refusalReply("the queue is not configured yet", openRetryDelay)
 	}
-	now := d.clock.Now()
 	j := &job{Job: task.New(id, string(name), q.Pool, spec, now), queue: q}
 	j.Policy = task.Policy{MaxAttempts: q.MaxAttempts, Priority: q.Priority, MaxStretch: q.MaxStretch, LatencyAllowance: q.LatencyAllowance, NeedsAdvice: q.NeedsAdvice}
 	d.jobs[id] = j
@@ -66,9 +63,28 @@
 	d.recordArrival(j, now)
 	d.counters.AcceptedJobs++
 	d.log.Info(eventJobAccepted, "job", id, "queue", name, "version", d.config.Version, "steps", len(spec.Steps), "lasting", spec.HasLongRunningStep(), "open", len(d.openJobs))
+	return d.watchFirstWrite(j), nil
+}
+
+// refuseWrite returns a refusal if new jobs cannot be stored at present; nil if they can.
+func (d *Dispatcher) refuseWrite() *relay.Reply {
+	if d.draining {
+		return refusalReply("the owner is stopping", openRetryDelay)
+	}
+	if d.ledger.StalledFor() > maxAppendDelay {
+		return refusalReply("the store does not answer", storeRetryDelay)
+	}
+	if delay := d.ledger.Delay(); delay > maxQueueDelay {
+		return refusalReply("the writes of earlier jobs wait for their turn", max(delay, storeRetryDelay))
+	}
+	return nil
+}
+
+// watchFirstWrite returns a channel that receives the result of the first write of a new job.
+func (d *Dispatcher) watchFirstWrite(j *job) <-chan error {
 	result := d.watchWrite(j)
 	j.writeCallbacks = append(j.writeCallbacks, func(err error) { j.stored = err == nil })
-	return result, nil
+	return result
 }
 
 // watchWrite returns a channel that receives the result of the next write of a job.
@@ -104,33 +120,47 @@
 }
 
 // Cancel cancels a job. It returns once the final state of the job is stored or ctx ends. A job that has ended
-// keeps its state.
+// keeps its state. The cancel of an unknown job is stored too, because its submission may arrive later. The store rejects
+// the write if there is a later owner, which may know the job.
 func (d *Dispatcher) Cancel(ctx context.Context, id task.JobID) *relay.Reply {
-	result, reply := d.cancelJob(id)
+	j, result, reply := d.cancelJob(id)
 	if reply != nil {
 		return reply
 	}
-	return d.awaitWrite(ctx, result)
+	reply = d.awaitWrite(ctx, result)
+	if reply.Verdict == relay.Verdict_DONE && j.Unsubmitted {
+		return d.missingReply(id, relay.Verb_CANCEL)
+	}
+	return reply
 }
 
-func (d *Dispatcher) cancelJob(id task.JobID) (<-chan error, *relay.Reply) {
+// cancelJob cancels a job and returns it with a channel for the result of the write, or a reply if there is nothing to
+// wait for.
+func (d *Dispatcher) cancelJob(id task.JobID) (*job, <-chan error, *relay.Reply) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.ledger == nil {
-		return nil, refusalReply("the stored jobs are not loaded yet", openRetryDelay)
+		return nil, nil, refusalReply("the stored jobs are not loaded yet", openRetryDelay)
 	}
 	j := d.jobs[id]
-	if j == nil {
-		return nil, d.missingReply(id, relay.Verb_CANCEL)
-	}
-	if j.Outcome == "" {
+	switch {
+	case j == nil:
+		if reply := d.refuseWrite(); reply != nil {
+			return nil, nil, reply
+		}
+		j = &job{Job: task.NewUnsubmitted(id, d.clock.Now())}
+		d.jobs[id] = j
+		return j, d.watchFirstWrite(j), nil
+	case j.Outcome == "":
 		d.log.Info(eventJobCancelled, "job", id, "running", j.activeRuns)
 		d.finishJob(j, task.StateCancelled, d.clock.Now())
 		d.saveAndCloseIfEnded(j)
-	} else if j.isDurable() {
-		return nil, &relay.Reply{Verdict: relay.Verdict_DONE}
+	case j.isDurable() && j.Unsubmitted:
+		return nil, nil, d.missingReply(id, relay.Verb_CANCEL)
+	case j.isDurable():
+		return nil, nil, &relay.Reply{Verdict: relay.Verdict_DONE}
 	}
-	return d.watchWrite(j), nil
+	return j, d.watchWrite(j), nil
 }
 
 // missingReply returns the reply to a request for a job that this owner does not know.
@@ -147,7 +177,7 @@
 		return refusalReply("the stored jobs are not loaded yet", openRetryDelay)
 	}
 	j := d.jobs[id]
-	if j == nil {
+	if j == nil || j.Unsubmitted {
 		return d.missingReply(id, relay.Verb_STATE)
 	}
 	state := j.State()
--- a/task/job.go
+++ b/task/job.go
@@ -99,6 +99,13 @@
 	Occurrences map[int]*Occurrence
 	// OpenOccurrences is the number of occurrences that are not done.
 	OpenOccurrences int
+	// Unsubmitted is set if the job was cancelled before a submission of it arrived. Its Outcome is StateCancelled.
+	Unsubmitted bool
+}
+
+// NewUnsubmitted returns a job that was cancelled before a submission of it arrived.
+func NewUnsubmitted(id JobID, cancelledAt time.Time) *Job {
+	return &Job{ID: id, Outcome: StateCancelled, EndedAt: cancelledAt, Occurrences: map[int]*Occurrence{}, Unsubmitted: true}
 }
 
 // New returns a job without progress.
--- a/task/record.go
+++ b/task/record.go
@@ -130,13 +130,14 @@
 	Outcome     State              `json:"outcome,omitempty"`
 	EndedAt     int64              `json:"ended,omitempty"` // Unix milliseconds
 	Started     bool               `json:"begun,omitempty"`
+	Unsubmitted bool               `json:"void,omitempty"`
 	Occurrences []occurrenceRecord `json:"passes,omitempty"`
 }
 
 // EncodeProgress returns the stored form of the progress of a job. For a job that has ended, it leaves
 // out the occurrences; ParseEndedJob decodes it without the submission.
 func (j *Job) EncodeProgress() ([]byte, error) {
-	record := progressRecord{Outcome: j.Outcome, Started: j.Started}
+	record := progressRecord{Outcome: j.Outcome, Started: j.Started, Unsubmitted: j.Unsubmitted}
 	if j.Outcome != "" {
 		record.EndedAt = j.EndedAt.UnixMilli()
 	} else {
@@ -252,8 +253,9 @@
 
 // endedRecord is the part of the stored progress that is needed after the submission was deleted.
 type endedRecord struct {
-	Outcome State `json:"outcome"`
-	EndedAt int64 `json:"ended"` // Unix milliseconds
+	Outcome     State `json:"outcome"`
+	EndedAt     int64 `json:"ended"` // Unix milliseconds
+	Unsubmitted bool  `json:"void"`
 }
 
 // ParseEndedJob decodes the final state of a job whose submission was deleted.
@@ -265,5 +267,5 @@
 	if !record.Outcome.IsFinal() {
 		return nil, &RecordError{ID: id, Cause: errNoSubmission}
 	}
-	return &Job{ID: id, Outcome: record.Outcome, EndedAt: time.UnixMilli(record.EndedAt), Occurrences: map[int]*Occurrence{}}, nil
+	return &Job{ID: id, Outcome: record.Outcome, EndedAt: time.UnixMilli(record.EndedAt), Occurrences: map[int]*Occurrence{}, Unsubmitted: record.Unsubmitted}, nil
 }
