dispatch, election: callers' questions are answered from memory only if no later owner can know better

Callers were told 410 for an accepted job, or that a cancelled one still runs, by an owner that was paused while a later one took over.

Cause: every question was answered from the owner's memory, whether or not a later owner existed. That the term counts as confirmed does not tell: it does for 4 s.

Change: Elector.Confirm reads the claims once more after the request has come, and callers share reads. "No such job" needs it. The state of a job that has not ended and the number of waiting jobs need it if the store has not confirmed the term for 2 s. A stored final state is true for good. Without the confirmation the question is refused with Retry-After. While the store answers, a question for an unknown job costs a read, which all questions of that time share; other questions cost nothing.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -223,13 +223,18 @@
 }
 
 // Ownership is the owner's lease on which the term depends. The dispatcher uses it to record a new
-// partition of the ledger, to report confirmed appends and to check the lease before each order.
+// partition of the ledger, to report confirmed appends, and to check the lease before each order and before answers that only
+// the last owner may give.
 type Ownership interface {
 	PublishPartition(ctx context.Context, epoch platform.Epoch, partition int) error
 	RecordConfirmation(sent time.Time)
 	// IsConfirmed reports whether the store has confirmed the term recently enough that no later owner counts on its end
 	// yet. It turns false while the process is paused, before the term ends.
 	IsConfirmed() bool
+	// StoreSilence returns the time since the last call was sent by which the store has confirmed the term.
+	StoreSilence() time.Duration
+	// Confirm returns nil once the store has confirmed, by a call that is sent after this one, that there is no later owner.
+	Confirm(ctx context.Context, epoch platform.Epoch) error
 }
 
 // mayOrder reports whether this owner may still start tasks, extend leases and give orders for machines.
--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -13,6 +13,7 @@
 	eventJobWithdrawn           = event.Define(2527, "job.withdrawn", "the store did not take a new job; its caller is refused and the job never runs")
 	eventJobCancelled           = event.Define(2505, "job.cancelled", "a caller cancelled a job; its runs are stopped")
 	eventJobMissing             = event.Define(2547, "job.missing", "a caller was told that a job does not exist; confirmed is false if the store has not confirmed the term recently")
+	eventTermUnconfirmed        = event.Define(2548, "tenure.unconfirmed", "a caller's question was refused because the store did not confirm that there is no later owner")
 	eventJobEnded               = event.Define(2506, "job.ended", "a job has reached its final state")
 	eventTaskPlaced             = event.Define(2507, "task.placed", "a worker was selected for a task")
 	eventStartRefused           = event.Define(2508, "task.refused", "a worker refused to start a task")
--- a/dispatch/paused_test.go
+++ b/dispatch/paused_test.go
@@ -15,12 +15,23 @@
 	"hibiscuslane.example/hibiscuslane/worker"
 )
 
-// fakeOwnership is an ownership whose confirmation the test sets.
-type fakeOwnership struct{ confirmed bool }
+// fakeOwnership is an ownership whose confirmation the test sets. Confirm fails if there is a later owner.
+type fakeOwnership struct {
+	confirmed, hasLaterOwner bool
+	silence                  time.Duration
+}
 
 func (f *fakeOwnership) PublishPartition(context.Context, platform.Epoch, int) error { return nil }
 func (f *fakeOwnership) RecordConfirmation(time.Time)                                {}
 func (f *fakeOwnership) IsConfirmed() bool                                           { return f.confirmed }
+func (f *fakeOwnership) StoreSilence() time.Duration                                 { return f.silence }
+
+func (f *fakeOwnership) Confirm(_ context.Context, epoch platform.Epoch) error {
+	if f.hasLaterOwner {
+		return &election.TermEndedError{Epoch: epoch}
+	}
+	return nil
+}
 
 // TestPausedOwnerActs guards against an owner that wakes after a pause of some seconds and, before it learns that its term
 // has ended, starts a queued task or extends a lease that a later owner takes for expired.
--- a/dispatch/requests.go
+++ b/dispatch/requests.go
@@ -168,37 +168,3 @@
 	d.log.Info(eventJobMissing, "job", id, "verb", verb.String(), "confirmed", d.mayOrder())
 	return &relay.Reply{Verdict: relay.Verdict_MISSING}
 }
-
-// JobState returns the state of a job. A final state is shown only once it is stored.
-func (d *Dispatcher) JobState(id task.JobID) *relay.Reply {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.ledger == nil {
-		return refusalReply("the stored jobs are not loaded yet", openRetryDelay)
-	}
-	j := d.jobs[id]
-	if j == nil || j.Unsubmitted {
-		return d.missingReply(id, relay.Verb_STATE)
-	}
-	state := j.State()
-	if state.IsFinal() && !j.isDurable() {
-		state = task.StateRunning
-	}
-	return &relay.Reply{Verdict: relay.Verdict_DONE, State: string(state)}
-}
-
-// CountWaitingJobs returns the number of open jobs in a queue of which no task has started.
-func (d *Dispatcher) CountWaitingJobs(name queue.Name) *relay.Reply {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.ledger == nil {
-		return refusalReply("the stored jobs are not loaded yet", openRetryDelay)
-	}
-	var waiting int64
-	for _, j := range d.openJobs {
-		if j.Queue == string(name) && !j.Started {
-			waiting++
-		}
-	}
-	return &relay.Reply{Verdict: relay.Verdict_DONE, Waiting: waiting}
-}
--- a/dispatch/requests_test.go
+++ b/dispatch/requests_test.go
@@ -61,3 +61,22 @@
 	require.Equal(t, relay.Verdict_REFUSED, later.Submit(t.Context(), testQueue, testJob, testSpec).Verdict)
 	require.Empty(t, d.Counters().OpenJobs+later.Counters().OpenJobs)
 }
+
+// TestPausedOwnerDeniesJob guards against a caller that is told that its job does not exist, or was not cancelled, by an owner
+// that was paused while a later one accepted or cancelled the job.
+func TestPausedOwnerDeniesJob(t *testing.T) {
+	const unknownJob = task.JobID("00000000000000bb")
+	ownership := &fakeOwnership{confirmed: true}
+	d := newServingOwner(t, &keyedStore{}, 1)
+	d.ownership = ownership
+	require.Equal(t, relay.Verdict_DONE, d.Submit(t.Context(), testQueue, testJob, testSpec).Verdict)
+	require.Equal(t, relay.Verdict_MISSING, d.JobState(t.Context(), unknownJob).Verdict)
+	ownership.hasLaterOwner = true
+	require.Equal(t, relay.Verdict_REFUSED, d.JobState(t.Context(), unknownJob).Verdict)
+	require.Equal(t, string(task.StatePending), d.JobState(t.Context(), testJob).State)
+	ownership.silence = maxAnswerAge + time.Millisecond
+	require.Equal(t, relay.Verdict_REFUSED, d.JobState(t.Context(), testJob).Verdict)
+	require.Equal(t, relay.Verdict_REFUSED, d.CountWaitingJobs(t.Context(), testQueue).Verdict)
+	require.Equal(t, relay.Verdict_DONE, d.Cancel(t.Context(), testJob).Verdict)
+	require.Equal(t, string(task.StateCancelled), d.JobState(t.Context(), testJob).State, "a stored final state lasts")
+}
--- a/election/election.go
+++ b/election/election.go
@@ -163,6 +163,10 @@
 	resignedAt time.Time
 	// closed is set once this process no longer takes part in elections.
 	closed bool
+	// nextConfirmation is the confirmation that callers of Confirm await whose read is not sent yet; nil if there is none.
+	// isConfirming is set while confirmations are made.
+	nextConfirmation *confirmation
+	isConfirming     bool
 }
 
 // CandidacyDelay returns how long this process waits before it claims a vacant ownership.
@@ -267,29 +271,29 @@
 	e.mu.Unlock()
 	switch {
 	case epoch != 0:
-		e.confirmTerm(ctx)
+		_ = e.confirmTerm(ctx) // it logs the error and ends the term if it must
 	case owner == "":
 		e.tryClaim(ctx, takeover{})
 	}
 }
 
 // confirmTerm ends the current term if another process has claimed ownership since it began, or if the store has
-// not answered for ConfirmTimeout.
-func (e *Elector) confirmTerm(ctx context.Context) {
+// not answered for ConfirmTimeout. It returns nil if the store has shown that no other process has.
+func (e *Elector) confirmTerm(ctx context.Context) error {
 	callCtx, cancel := e.Clock.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	sent := e.Clock.Now()
 	e.mu.Lock()
-	nextOffset := e.nextOffset
+	nextOffset, epoch := e.nextOffset, e.lastEpoch
 	e.mu.Unlock()
 	batch, err := e.Store.Read(callCtx, claimsTopic, claimsPartition, nextOffset, 0)
 	if err == nil && e.areOwnClaims(batch, nextOffset) {
 		e.RecordConfirmation(sent)
-		return
+		return nil
 	}
 	if _, expired := platform.FirstKeptOffset(err); expired || err == nil {
 		e.applyChange(Lost{Reason: "another process has claimed ownership"})
-		return
+		return &TermEndedError{Epoch: epoch}
 	}
 	if ctx.Err() == nil {
 		e.Log.Debug(eventClaimsUnreadable, "error", err)
@@ -297,6 +301,7 @@
 	if e.StoreSilence() > ConfirmTimeout {
 		e.applyChange(Lost{Reason: "the store does not answer"})
 	}
+	return err
 }
 
 // areOwnClaims reports whether all claims from an offset on belong to this process, which appends claims when
--- a/process/peers.go
+++ b/process/peers.go
@@ -118,9 +118,9 @@
 	case relay.Verb_CANCEL:
 		return d.Cancel(ctx, id)
 	case relay.Verb_STATE:
-		return d.JobState(id)
+		return d.JobState(ctx, id)
 	case relay.Verb_WAITING:
-		return d.CountWaitingJobs(queue.Name(request.Queue))
+		return d.CountWaitingJobs(ctx, queue.Name(request.Queue))
 	}
 	return &relay.Reply{Verdict: relay.Verdict_INVALID, Reason: "unknown verb"}
 }
