ingress, process: a request whose caller's time ran out is not forwarded

A job was accepted after its caller had given up: the entry was paused or suspended between the arrival of the request and its way to the owner, and the owner got the whole time of the caller, counted from the moment of forwarding.

Change: the time of the caller counts from the arrival of the request, on a clock that includes suspension; a request is refused once it has passed, and the owner gets what is left of it.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -27,6 +27,8 @@
 	// replyFraction is the part of a caller's timeout after which the caller is told that the outcome is unknown, so
 	// that the reply still arrives in time.
 	replyFraction = 0.8
+	// expiredRetryDelay is the delay after which a caller should retry whose time ran out before its request was forwarded.
+	expiredRetryDelay = time.Second
 	// noConfigRetryDelay is the delay after which a caller should retry while there is no configuration.
 	noConfigRetryDelay = time.Second
 )
@@ -41,7 +43,8 @@
 
 // Forwarder forwards requests to the owner.
 type Forwarder interface {
-	Forward(ctx context.Context, request *relay.Request) *relay.Reply
+	// Forward forwards a request whose caller waits for the reply until the given Uptime of the timer service, and not after it.
+	Forward(ctx context.Context, request *relay.Request, expiry time.Duration) *relay.Reply
 }
 
 // Handler serves callers. All exported fields except Closing must be set before the first request.
@@ -62,6 +65,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrival := h.Clock.Uptime()
 	if h.Closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -82,11 +86,23 @@
 		w.WriteHeader(status)
 		return
 	}
-	timeout := timeoutOf(r, q)
-	request.Patience = int64(float64(timeout.Milliseconds()) * replyFraction)
-	ctx, cancel := h.Clock.WithTimeout(r.Context(), time.Duration(request.Patience)*time.Millisecond)
+	expiry := arrival + time.Duration(float64(timeoutOf(r, q))*replyFraction)
+	ctx, cancel := h.Clock.WithTimeout(r.Context(), expiry-h.Clock.Uptime())
 	defer cancel()
-	h.writeOutcome(w, r, request, h.Forwarder.Forward(ctx, request))
+	h.writeOutcome(w, r, request, h.forward(ctx, request, expiry))
+}
+
+// forward forwards a request unless its caller waits no longer, because the process was paused or the body was late.
+func (h *Handler) forward(ctx context.Context, request *relay.Request, expiry time.Duration) *relay.Reply {
+	if h.Clock.Uptime() >= expiry {
+		return ExpiredReply()
+	}
+	return h.Forwarder.Forward(ctx, request, expiry)
+}
+
+// ExpiredReply returns the refusal of a request that was not forwarded because its caller waits no longer.
+func ExpiredReply() *relay.Reply {
+	return &relay.Reply{Verdict: relay.Verdict_REFUSED, Reason: "the time of the caller ran out before the request was forwarded", Again: expiredRetryDelay.Milliseconds()}
 }
 
 // timeoutOf returns the limit of the time until the reply: that of the queue, or less if the caller asks for less.
--- a/process/peers.go
+++ b/process/peers.go
@@ -10,6 +10,7 @@
 	"hibiscuslane.example/hibiscuslane/carrier"
 	"hibiscuslane.example/hibiscuslane/dispatch"
 	"hibiscuslane.example/hibiscuslane/election"
+	"hibiscuslane.example/hibiscuslane/ingress"
 	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/queue"
 	"hibiscuslane.example/hibiscuslane/relay"
@@ -206,7 +207,7 @@
 }
 
 // Forward implements ingress.Forwarder.
-func (p *Process) Forward(ctx context.Context, request *relay.Request) *relay.Reply {
+func (p *Process) Forward(ctx context.Context, request *relay.Request, expiry time.Duration) *relay.Reply {
 	if d := p.dispatcher(); d != nil {
 		return handleRequest(ctx, d, request)
 	}
@@ -215,6 +216,11 @@
 		if owner == "" || owner == p.elector.Member {
 			break
 		}
+		remaining := expiry - p.clock.Uptime()
+		if remaining <= 0 {
+			return ingress.ExpiredReply()
+		}
+		request.Patience = remaining.Milliseconds()
 		reply := p.callOwner(ctx, owner, request)
 		if reply.Verdict != relay.Verdict_ELSEWHERE {
 			return reply
