dispatch: orders to stop or throttle a run read a worker's address under the lock

Callers saw nothing of it on amd64, as far as is known. A registration with another address replaces workerState.client under the lock; the queued orders to stop and to throttle a run read it without, in the goroutine that sends them. By Go's memory model such an order may be sent with a client of which only a part is seen: a call to no address, or one that names no worker. Renewals and starts already read it under the lock.

Before: TestAddressChangesDuringCalls, under the race detector, "WARNING: DATA RACE ... Write ... applyRegistration ... Previous read ... orderStop.func1", and the same for orderSpeed, in 5 of 5 processes. After: 20 runs in one process without a report.

The orders now read the client under the lock when they are sent, so that they go to the address of that moment. Each call names its worker, and another one at the address refuses it; the test checks that too.

--- /dev/null
+++ b/dispatch/address_test.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/queue"
+)
+
+// entryAt returns an entry of the worker "w" with the address of a server.
+func entryAt(server *httptest.Server) platform.Record {
+	entry := entryRecord("w", "desk", 7)
+	entry.Value = bytes.Replace(entry.Value, []byte("127.0.0.1:1"), []byte(addressOf(server)), 1)
+	return entry
+}
+
+func addressOf(server *httptest.Server) instance.Address {
+	return instance.Address(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// TestAddressChangesDuringCalls guards against calls that read the address of a worker while its registration replaces it.
+func TestAddressChangesDuringCalls(t *testing.T) {
+	answer := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		assert.Equal(t, "w", r.Header.Get("X-Target-Instance"))
+		_, _ = io.WriteString(w, `{"clock_ms":500,"born":7,"running":[]}`)
+	})
+	first, second := httptest.NewServer(answer), httptest.NewServer(answer)
+	defer first.Close()
+	defer second.Close()
+	d := newIdleDispatcher(t, queue.New(1, nil, []queue.Pool{{Name: "desk"}}))
+	d.ctx, d.workerClient = t.Context(), platform.NewDirectClient()
+	d.mu.Lock()
+	d.applyRegistration(entryAt(first))
+	s := d.workers["w"]
+	r := addRun(d, s, 1, phaseRunning)
+	d.mu.Unlock()
+	var handled sync.WaitGroup
+	handle := func(err error) {
+		handled.Done()
+		assert.NoError(t, err)
+	}
+	for range 50 { // the lease is renewed meanwhile
+		d.mu.Lock()
+		handled.Add(2)
+		d.orderStop(s, r.id, handle)
+		d.orderSpeed(s, r.id, 50, handle)
+		d.mu.Unlock()
+		for range 20 {
+			for _, server := range []*httptest.Server{first, second} {
+				d.mu.Lock()
+				d.applyRegistration(entryAt(server))
+				d.mu.Unlock()
+			}
+		}
+		handled.Wait()
+	}
+}
--- a/dispatch/carriers.go
+++ b/dispatch/carriers.go
@@ -211,7 +211,7 @@
 		via.StopRun(id.key, id.number, token, orderTimeout, handle)
 		return
 	}
-	s.enqueueOrder(func(ctx context.Context) { handle(s.client.StopRun(ctx, id.key, id.number, token)) })
+	s.enqueueOrder(func(ctx context.Context) { handle(d.clientOf(s).StopRun(ctx, id.key, id.number, token)) })
 }
 
 // orderSpeed sends an order to throttle a run. The handle function is called with the result; not if too many orders wait.
@@ -221,5 +221,12 @@
 		via.SetSpeed(id.key, id.number, percent, token, orderTimeout, handle)
 		return
 	}
-	s.enqueueOrder(func(ctx context.Context) { handle(s.client.SetSpeed(ctx, id.key, id.number, percent, token)) })
+	s.enqueueOrder(func(ctx context.Context) { handle(d.clientOf(s).SetSpeed(ctx, id.key, id.number, percent, token)) })
+}
+
+// clientOf returns the client of a worker at its present address, for a call that is sent without the lock.
+func (d *Dispatcher) clientOf(s *workerState) *platform.Worker {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return s.client
 }
