dispatch: an order for maintenance reads the number of its wave without a race

The closure that sends the order read waveState.request, which SetWave replaces under the lock, without the lock. An order could be sent with the number of a request that is only partly seen.

Before: TestWaveChangesDuringOrder, under the race detector, "WARNING: DATA RACE Read ... orderMaintenance.func1 ... Previous write ... SetWave", in 5 of 5 processes. After: 20 runs in one process without a report.

The closure uses waveState.number, which is the same and never changes.

--- a/dispatch/address_test.go
+++ b/dispatch/address_test.go
@@ -14,6 +14,8 @@
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/queue"
+	"hibiscuslane.example/hibiscuslane/wave"
+	"hibiscuslane.example/hibiscuslane/worker"
 )
 
 // entryAt returns an entry of the worker "w" with the address of a server.
@@ -64,3 +66,31 @@
 		handled.Wait()
 	}
 }
+
+// TestWaveChangesDuringOrder guards against a maintenance order that reads the request of its wave while the operator's next
+// request replaces it.
+func TestWaveChangesDuringOrder(t *testing.T) {
+	sent := make(chan struct{}, 1)
+	fleet := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusConflict)
+		sent <- struct{}{}
+	}))
+	defer fleet.Close()
+	d := newIdleDispatcher(t, nil)
+	d.ctx = t.Context()
+	d.fleet = &platform.Fleet{Address: addressOf(fleet), HTTP: platform.NewHTTPClient(1), LeaseHolder: "entry"}
+	d.restoreOrderRecord("m", "entry", d.clock.Now())
+	request := wave.Request{Number: 3, Machines: []worker.MachineID{"m"}}
+	d.SetWave(request, d.clock.Now())
+	d.mu.Lock()
+	d.orderMaintenance(d.findOrAddWave(3), "m", d.clock.Now())
+	d.mu.Unlock()
+	for {
+		d.SetWave(request, d.clock.Now())
+		select {
+		case <-sent:
+			return
+		default:
+		}
+	}
+}
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -491,7 +491,7 @@
 // orderMaintenance orders the maintenance of a machine.
 func (d *Dispatcher) orderMaintenance(w *waveState, id worker.MachineID, now time.Time) {
 	d.sendMachineOrder(id, machineOrder{since: now, downtime: d.timing.MaintenanceDuration}, func(ctx context.Context) error {
-		return d.fleet.MaintainMachine(ctx, id, w.request.Number, worker.FencingToken(d.epoch))
+		return d.fleet.MaintainMachine(ctx, id, w.number, worker.FencingToken(d.epoch))
 	}, func() {
 		d.counters.MachineMaintenances++
 		w.maintained[id] = true
