dispatch: a worker without runs is asked as long as a start may still take effect

What callers saw: a task of a cancelled job works for as long as a lease lasts. Its start had no answer; the job was cancelled, the stop confirmed, and the run forgotten. The worker restarted under its id and then carried out the start.

Cause: the deadline and the number of a run keep a late start from taking effect only on the incarnation for which it was meant. The next one has a clock that begins anew and has forgotten the stop, and it takes the token from the first renewal. A worker without runs is not asked for reports, so the owner did not learn of the run. Class of fault: an order without an answer counts as settled once one incarnation refuses it.

Change: for 10 s after a start without an answer its worker is asked for its runs, with the usual wait of 0.9 s, also if it has none; a run that the owner does not know is stopped as before. The time is kept by worker id, since the entry of a worker that has crashed may be removed in between. A worker that has become silent meanwhile is asked until it answers, or it would get no tasks any more.

Cost: about one call a second for 10 s after a start without an answer, only at workers without runs; none otherwise (counted by reading).

The stand-in learns to restart a worker under its id and to carry out delayed starts on the incarnation that has the id then.

--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"strings"
 	"time"
 
@@ -168,6 +169,7 @@
 	for _, r := range d.runs {
 		d.retryStop(r, now)
 	}
+	maps.DeleteFunc(d.lateStarts, func(_ worker.ID, until time.Time) bool { return now.After(until) })
 	if d.ledger != nil {
 		d.dropEndedJobs(now)
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -145,16 +145,19 @@
 
 // handleStartResult processes the result of a start order.
 func (d *Dispatcher) handleStartResult(r *run, s *workerState, err error) {
+	now := d.clock.Now()
+	refusal, refused := platform.WorkerRefusal(err)
+	if !refused && (err != nil || d.runs[r.id] != r) {
+		d.watchForLateStart(s.id, now)
+	}
 	if d.runs[r.id] != r || r.phase != phaseStarting {
 		return
 	}
-	now := d.clock.Now()
 	if err == nil {
 		d.confirmStart(r, now)
 		s.requestRenewal()
 		return
 	}
-	refusal, refused := platform.WorkerRefusal(err)
 	if !refused {
 		d.counters.UnconfirmedStarts++
 		d.log.Info(eventStartUnconfirmed, "task", r.id.key.String(), "run", r.id.number, "worker", s.id, "error", err)
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -255,7 +255,7 @@
 }
 
 // nextRenewal returns the renewal to send next. It returns false if none is needed because the worker has
-// acknowledged the token, has no runs, and knows which ends are stored.
+// acknowledged the token, has no runs, knows which ends are stored, and no earlier start may take effect there.
 func (d *Dispatcher) nextRenewal(s *workerState) (platform.Renewal, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -268,7 +268,11 @@
 		}
 		return renewal, true
 	case len(s.runs) == 0 && s.orphanedRuns == 0:
-		return renewal, s.storedEnd > s.ackedEnd
+		if now.Before(d.lateStarts[s.id]) && s.storedEnd == s.ackedEnd {
+			renewal.MaxWait = maxReportDelay
+			return renewal, true
+		}
+		return renewal, s.storedEnd > s.ackedEnd || !s.unreachableSince.IsZero()
 	}
 	renewal.MaxWait = maxReportDelay
 	renewal.LeaseDeadline = d.extendLease(s, now)
--- /dev/null
+++ b/process/late_test.go
@@ -0,0 +1,37 @@
+package process_test
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/standin/fabric"
+)
+
+// lateRunTime is how long a run of a cancelled job may last that a worker has started late.
+const lateRunTime = 3 * time.Second
+
+// TestCancelledJobStartsLate guards against a task of a cancelled job that works on for as long as a lease lasts: its start
+// had no answer, its stop was confirmed, and the worker restarted under its id before it carried out the start.
+func TestCancelledJobStartsLate(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.PublishConfig(1, []string{"desk"}, "")
+	c.AddMachine("desk", cores16, false)
+	e := c.start("entry-1")
+	time.Sleep(2 * time.Second) // the new incarnation's clock is behind by that
+	worker, job := c.Workers()[0], fabric.JobID(1)
+	worker.DelayStarts(1, 2500*time.Millisecond)
+	c.submit(e, "desk", job, fabric.JobBody(1000, 20000, 1))
+	time.Sleep(200 * time.Millisecond) // the start is sent within this time
+	status, _ := c.call(e, http.MethodDelete, "/desk/"+job, "")
+	require.Equal(t, http.StatusOK, status)
+	time.Sleep(time.Second) // the stop is confirmed within this time
+	require.Zero(t, c.StartCount(job+".0.0.0"))
+	worker.Restart(100 * time.Millisecond)
+	require.Eventually(t, func() bool { return c.StartCount(job+".0.0.0") == 1 }, waitTimeout, time.Millisecond)
+	time.Sleep(lateRunTime)
+	require.Empty(t, c.RunningTasks())
+}
--- a/standin/fabric/worker.go
+++ b/standin/fabric/worker.go
@@ -126,7 +126,43 @@
 	w.platform.Store.Put("keyed.servers", w.ID, w.registration())
 }
 
-// DelayStarts leaves the next n starts without a response and lets them take effect after d.
+// Restart ends the worker and its runs at once, and starts a new incarnation with the same id after d.
+func (w *Worker) Restart(d time.Duration) {
+	p := w.platform
+	p.mu.Lock()
+	delete(p.workers, w.Machine)
+	p.offlineStates[w.Machine] = stateDown
+	p.mu.Unlock()
+	w.terminate()
+	time.AfterFunc(d, func() {
+		next := &Worker{
+			ID: w.ID, Machine: w.Machine, Pool: w.Pool, CPU: w.CPU, platform: p, startedAt: time.Now(), clockDrift: w.clockDrift,
+			runs: map[string]*run{}, highestRun: map[string]int64{}, changed: make(chan struct{}),
+		}
+		next.address = p.startServer(next)
+		if p.ProxyAddress != nil {
+			next.address = p.ProxyAddress(next.Machine, next.address)
+		}
+		p.mu.Lock()
+		delete(p.offlineStates, next.Machine)
+		p.workers[next.Machine] = next
+		p.mu.Unlock()
+		next.Register()
+	})
+}
+
+// currentIncarnation returns the latest incarnation with the id of the worker.
+func (w *Worker) currentIncarnation() *Worker {
+	w.platform.mu.Lock()
+	defer w.platform.mu.Unlock()
+	if next := w.platform.workers[w.Machine]; next != nil && next.ID == w.ID {
+		return next
+	}
+	return w
+}
+
+// DelayStarts leaves the next n starts without a response and lets them take effect after d, on the incarnation that has
+// the id of the worker then.
 func (w *Worker) DelayStarts(n int, d time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -184,9 +220,10 @@
 	if w.delayedStarts > 0 {
 		w.delayedStarts--
 		time.AfterFunc(w.startDelay, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			w.startRun(body)
+			current := w.currentIncarnation()
+			current.mu.Lock()
+			defer current.mu.Unlock()
+			current.startRun(body)
 		})
 		w.mu.Unlock()
 		<-r.Context().Done()
