dispatch, task: ended jobs are kept by a clock that does not jump

What callers saw: a job that had ended was unknown (410) before the promised time, and a repeated submission ran it again. With a new owner whose time of day is ahead, that comes earlier by the difference: at 150 s of retention (120 s promised, 30 s margin) a difference of 30 s breaks the promise, one of 150 s drops the job as soon as the new owner has opened the ledger. One that is behind keeps the job for longer, without end if each owner is.

Cause: the end was stored as a time of day, and each later owner compared it with its own. Class of fault: a duration measured across processes by the time of day.

Evidence: TestClockJumpDropsEndedJob failed before: "Should NOT be empty, but was map[]", "jump of 10m0s". Ruled out by reading: a jump within the term in which the job ended (both times have a steady reading); an older record that arrives after the deletion (an append of the same term is sent until it is stored before the next one, one of an earlier term is fenced, and records that an earlier use of a partition has left are deleted by the move into it); a move between the two deletions (they are one write, which is not split and is repeated in the new partition).

Change: owners continue one clock, the owner time, each from the latest value that is stored with an ended job, by its own steady clock. The retention of a job counts on it. It needs no record of its own. The time of day of the end stays in the record for earlier versions.

Why it works: terms do not overlap in what they store, so the owner time is never ahead of the time that has passed since an end; time without an owner does not count. It goes on whenever jobs end, so that the state is bounded however often the owner changes: TestEndedJobsPileUp fails if each owner counts anew ("20" is not less than or equal to "4"). Jobs that an earlier version stored count as ended when an owner opens the ledger.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -97,8 +97,10 @@
 	inheritedRunTimeout time.Duration
 	// ledgerOpenedAt is when the ledger was opened. From then on it rejects writes of earlier owners.
 	ledgerOpenedAt time.Time
-	ctx            context.Context
-	cycleRequests  chan struct{}
+	// ownerTimeAtOpen is the owner time when the ledger was opened.
+	ownerTimeAtOpen task.OwnerTime
+	ctx             context.Context
+	cycleRequests   chan struct{}
 	// restored is closed once the stored jobs are loaded. A worker must not be called before: its runs would be taken for
 	// unknown ones and stopped.
 	restored chan struct{}
@@ -107,7 +109,7 @@
 	// adviceRequests are the queued requests to the advice service.
 	adviceRequests chan adviceRequest
 
-	// mu guards the fields below, timing and ledgerOpenedAt, and the jobs, runs and advice that the fields
+	// mu guards the fields below, timing, ledgerOpenedAt and ownerTimeAtOpen, and the jobs, runs and advice that the fields
 	// refer to.
 	mu            sync.Mutex
 	ledger        *ledger.Ledger // nil until the stored jobs are loaded
--- a/dispatch/persistence.go
+++ b/dispatch/persistence.go
@@ -210,6 +210,7 @@
 		}
 		records = append(records, platform.Record{Key: submissionKeyPrefix + string(j.ID), Value: data})
 	}
+	d.recordKeptSince(j, d.clock.Now())
 	data, err := j.EncodeProgress()
 	if err != nil {
 		d.log.Error(eventEncodeFailed, "job", j.ID, "error", err)
@@ -282,6 +283,7 @@
 		}
 	}
 	d.restoreJobs(submissions, progress)
+	d.startOwnerTime()
 	d.ledger = l
 	close(d.restored)
 	d.log.Info(eventTermBegan, "epoch", d.epoch, "jobs", len(d.jobs), "open", len(d.openJobs), "runs", len(d.runs))
@@ -350,11 +352,6 @@
 	d.openJobs[i] = j
 }
 
-// retentionLeft returns for how long an ended job is still kept.
-func (d *Dispatcher) retentionLeft(j *job, now time.Time) time.Duration {
-	return d.timing.StatusRetention + retentionMargin - now.Sub(j.EndedAt)
-}
-
 // dropEndedJobs deletes ended jobs whose state no longer has to be retained. If the term of an owner ended while its
 // ledger moved, the submission of an ended job may still be stored, and the job would run again without its progress.
 func (d *Dispatcher) dropEndedJobs(now time.Time) {
--- a/task/job.go
+++ b/task/job.go
@@ -80,6 +80,10 @@
 	NeedsAdvice      bool          `json:"advised,omitempty"`
 }
 
+// OwnerTime is a time on the clock that each owner continues from the latest OwnerTime that is stored. It stands still while
+// there is no owner, and is therefore never ahead of the time that has passed.
+type OwnerTime time.Duration
+
 // Job is a job and its progress.
 type Job struct {
 	ID    JobID
@@ -91,6 +95,9 @@
 	AcceptedAt time.Time
 	// EndedAt is when the job reached its final state.
 	EndedAt time.Time
+	// KeptSince is when the retention of the job began, after its end; zero if it has not begun or an earlier version has
+	// stored the job.
+	KeptSince OwnerTime
 	// Outcome is the final state; it is empty until the job ends.
 	Outcome State
 	// Started is set once any task has started.
--- a/task/record.go
+++ b/task/record.go
@@ -129,6 +129,7 @@
 type progressRecord struct {
 	Outcome     State              `json:"outcome,omitempty"`
 	EndedAt     int64              `json:"ended,omitempty"` // Unix milliseconds
+	KeptSince   int64              `json:"kept,omitempty"`  // OwnerTime in milliseconds
 	Started     bool               `json:"begun,omitempty"`
 	Unsubmitted bool               `json:"void,omitempty"`
 	Occurrences []occurrenceRecord `json:"passes,omitempty"`
@@ -139,7 +140,7 @@
 func (j *Job) EncodeProgress() ([]byte, error) {
 	record := progressRecord{Outcome: j.Outcome, Started: j.Started, Unsubmitted: j.Unsubmitted}
 	if j.Outcome != "" {
-		record.EndedAt = j.EndedAt.UnixMilli()
+		record.EndedAt, record.KeptSince = j.EndedAt.UnixMilli(), time.Duration(j.KeptSince).Milliseconds()
 	} else {
 		for number, occurrence := range j.Occurrences {
 			record.Occurrences = append(record.Occurrences, occurrence.toRecord(number))
@@ -211,7 +212,7 @@
 	j.Started = record.Started
 	j.Outcome = record.Outcome
 	if record.Outcome != "" {
-		j.EndedAt = time.UnixMilli(record.EndedAt)
+		j.EndedAt, j.KeptSince = time.UnixMilli(record.EndedAt), ownerTimeOf(record.KeptSince)
 	}
 	return nil
 }
@@ -248,6 +249,9 @@
 	}
 }
 
+// ownerTimeOf returns the OwnerTime of a stored number of milliseconds.
+func ownerTimeOf(ms int64) OwnerTime { return OwnerTime(time.Duration(ms) * time.Millisecond) }
+
 // errNoSubmission is the cause of a RecordError if the progress of an open job is stored without its submission.
 var errNoSubmission = errors.New("the submission is missing and the job has not ended")
 
@@ -255,6 +259,7 @@
 type endedRecord struct {
 	Outcome     State `json:"outcome"`
 	EndedAt     int64 `json:"ended"` // Unix milliseconds
+	KeptSince   int64 `json:"kept"`  // OwnerTime in milliseconds
 	Unsubmitted bool  `json:"void"`
 }
 
@@ -267,5 +272,5 @@
 	if !record.Outcome.IsFinal() {
 		return nil, &RecordError{ID: id, Cause: errNoSubmission}
 	}
-	return &Job{ID: id, Outcome: record.Outcome, EndedAt: time.UnixMilli(record.EndedAt), Occurrences: map[int]*Occurrence{}, Unsubmitted: record.Unsubmitted}, nil
+	return &Job{ID: id, Outcome: record.Outcome, EndedAt: time.UnixMilli(record.EndedAt), KeptSince: ownerTimeOf(record.KeptSince), Occurrences: map[int]*Occurrence{}, Unsubmitted: record.Unsubmitted}, nil
 }
