election: a late read of the claims does not end a later term of the same process

Found by reading while Confirm was added: reads of the claims are made by two goroutines now, and one that began in an earlier term could end the current one. It was not seen; a needless change of owner is all that it would have cost.

--- a/election/election.go
+++ b/election/election.go
@@ -292,18 +292,28 @@
 		return nil
 	}
 	if _, expired := platform.FirstKeptOffset(err); expired || err == nil {
-		e.applyChange(Lost{Reason: "another process has claimed ownership"})
+		e.loseTerm(epoch, "another process has claimed ownership")
 		return &TermEndedError{Epoch: epoch}
 	}
 	if ctx.Err() == nil {
 		e.Log.Debug(eventClaimsUnreadable, "error", err)
 	}
 	if e.StoreSilence() > ConfirmTimeout {
-		e.applyChange(Lost{Reason: "the store does not answer"})
+		e.loseTerm(epoch, "the store does not answer")
 	}
 	return err
 }
 
+// loseTerm ends the term with the given epoch, unless this process has begun a later one meanwhile.
+func (e *Elector) loseTerm(epoch platform.Epoch, reason string) {
+	e.mu.Lock()
+	hasLaterTerm := e.lastEpoch != epoch
+	e.mu.Unlock()
+	if !hasLaterTerm {
+		e.applyChange(Lost{Reason: reason})
+	}
+}
+
 // areOwnClaims reports whether all claims from an offset on belong to this process, which appends claims when
 // its ledger moves. It returns false if the batch lacks some of them, since another process may have appended
 // those.
