dispatch, platform: a job that cannot be stored is refused

What callers saw: a job due after the year 9999 was accepted with 200, was never stored, and was unknown (410) to the next owner.

Cause: the submission cannot be encoded, so that the write of the new job had no records, and a write without records is reported as stored.

Evidence: with a start in the year 10000 TestUnstorableJobAccepted failed before: the reply was DONE, not REFUSED.

A new job that cannot be encoded for any cause is withdrawn and its caller refused, with UnencodableJobError.

Why it works: no acknowledgement is given without a record, whatever keeps a job from being encoded.

--- a/dispatch/error.go
+++ b/dispatch/error.go
@@ -3,6 +3,7 @@
 import (
 	"hibiscuslane.example/hibiscuslane/failure"
 	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/task"
 	"hibiscuslane.example/hibiscuslane/worker"
 )
 
@@ -21,3 +22,14 @@
 
 // Outcome implements failure.Coded.
 func (e *UnnamedPoolError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
+
+// UnencodableJobError reports a job that cannot be encoded for the ledger and therefore never runs.
+type UnencodableJobError struct{ Job task.JobID }
+
+func (e *UnencodableJobError) Error() string { return "job " + string(e.Job) + " cannot be encoded" }
+
+// Code implements failure.Coded.
+func (e *UnencodableJobError) Code() failure.Code { return failure.CodeInvalid }
+
+// Outcome implements failure.Coded.
+func (e *UnencodableJobError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
--- a/dispatch/persistence.go
+++ b/dispatch/persistence.go
@@ -158,10 +158,15 @@
 }
 
 // writeNewJob writes a new job in such a way that the ledger may withdraw the write. If the store does not
-// take it, the job is withdrawn and its caller is refused.
+// take it or it cannot be encoded, the job is withdrawn and its caller is refused.
 func (d *Dispatcher) writeNewJob(j *job) {
 	records := d.changedRecords(j)
 	callbacks := takeWriteCallbacks([]*job{j})
+	if len(records) == 0 {
+		d.withdrawJob(j)
+		d.handleWriteResult([]*job{j}, callbacks, &ledger.NotStoredError{Cause: &UnencodableJobError{Job: j.ID}})
+		return
+	}
 	d.ledger.TryWrite(records, func(err error) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
--- a/dispatch/requests_test.go
+++ b/dispatch/requests_test.go
@@ -80,3 +80,12 @@
 	require.Equal(t, relay.Verdict_DONE, d.Cancel(t.Context(), testJob).Verdict)
 	require.Equal(t, string(task.StateCancelled), d.JobState(t.Context(), testJob).State, "a stored final state lasts")
 }
+
+// TestUnstorableJobAccepted guards against a job that its caller takes for accepted although it cannot be encoded, so that it
+// is lost with the owner.
+func TestUnstorableJobAccepted(t *testing.T) {
+	d := newServingOwner(t, &keyedStore{}, 1)
+	spec := task.Spec{Steps: testSpec.Steps, RepeatCount: 1, Start: time.Date(10_000, time.January, 1, 0, 0, 0, 0, time.UTC)}
+	require.Equal(t, relay.Verdict_REFUSED, d.Submit(t.Context(), testQueue, testJob, spec).Verdict)
+	require.Zero(t, d.Counters().OpenJobs)
+}
