dispatch: an ended job is not forgotten while it has runs or a write waits

What callers and workers would see: a job that is submitted again after its retention could get the run numbers of the old one in the same term. A run of the old job that is still known would be replaced in the owner's tables, and its room never freed; a late write of the old job would delete the new submission. Found by reading, not seen.

Cause: jobs were dropped by age alone. Runs of an ended job last longer than 150 s only if their worker is silent and the registrations cannot be read, and writes if the store does not answer.

Change: a job is dropped once it has no runs and every change of it is stored. Both end, or the term does, so that the state stays bounded.

--- a/dispatch/persistence.go
+++ b/dispatch/persistence.go
@@ -362,7 +362,7 @@
 func (d *Dispatcher) dropEndedJobs(now time.Time) {
 	var records []platform.Record
 	for id, j := range d.jobs {
-		if j.Outcome == "" || d.retentionLeft(j, now) > 0 || len(records) >= recordsPerDrop*maxDropsPerWrite {
+		if !d.canDrop(j, now) || len(records) >= recordsPerDrop*maxDropsPerWrite {
 			continue
 		}
 		records = append(records, platform.Record{Key: submissionKeyPrefix + string(id)}, platform.Record{Key: progressKeyPrefix + string(id)})
--- a/dispatch/retention.go
+++ b/dispatch/retention.go
@@ -42,3 +42,9 @@
 	}
 	return retention - time.Duration(d.ownerTime(now)-j.KeptSince)
 }
+
+// canDrop reports whether a job may be forgotten. If it were submitted again while a run of it may go on, or a write of it
+// waits, these would count for the new job.
+func (d *Dispatcher) canDrop(j *job, now time.Time) bool {
+	return j.Outcome != "" && j.activeRuns == 0 && j.isDurable() && d.retentionLeft(j, now) <= 0
+}
--- a/dispatch/retention_test.go
+++ b/dispatch/retention_test.go
@@ -48,3 +48,17 @@
 	}
 	require.LessOrEqual(t, len(s.records), int(retentionMargin/termLength)+1)
 }
+
+// TestDroppedJobHasRuns guards against an ended job that is forgotten while a run of it may go on. If the job is submitted
+// again, the owner numbers the new runs like the old ones.
+func TestDroppedJobHasRuns(t *testing.T) {
+	s := &keyedStore{}
+	d := newOwner(t, s)
+	endJob(d, s, testJob, d.clock.Now())
+	d.jobs[testJob].activeRuns = 1
+	d.dropEndedJobs(d.clock.Now().Add(time.Hour))
+	require.Contains(t, d.jobs, testJob)
+	d.jobs[testJob].activeRuns = 0
+	d.dropEndedJobs(d.clock.Now().Add(time.Hour))
+	require.Empty(t, d.jobs)
+}
