dispatch: a restarted worker lists its runs before it counts as idle

What callers saw: a run that the owner does not know may work on for as long as a lease lasts.

Cause: while all runs of a worker are known, reports without the list of runs are requested. If such a report shows a restart, the runs of the earlier incarnation have ended, and the worker counts as one without runs, which is not asked again. A start that the new incarnation had carried out before, from this owner or an earlier one, was never listed.

Evidence: dispatch TestRestartUnlisted failed before: "Should be true" for whether the worker is asked after such a report.

Change: the time of the last list is forgotten with the incarnation, and a worker that has listed nothing yet is asked at once.

--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -90,7 +90,7 @@
 	// orphanedRuns is the number of runs in the last report that the owner does not know. The capacity that
 	// they use is unknown too, so the worker takes no tasks until they have ended.
 	orphanedRuns int
-	// runsListedAt is when the worker last listed all its runs.
+	// runsListedAt is when the worker last listed all its runs; zero if its incarnation has not.
 	runsListedAt time.Time
 	// suspectUntil is the time until which the worker is chosen last.
 	suspectUntil time.Time
@@ -267,25 +267,35 @@
 			renewal.LeaseDeadline = d.extendLease(s, now)
 		}
 		return renewal, true
-	case len(s.runs) == 0 && s.orphanedRuns == 0:
+	case s.hasNoRuns():
 		if now.Before(d.lateStarts[s.id]) && s.storedEnd == s.ackedEnd {
 			renewal.MaxWait = maxReportDelay
 			return renewal, true
 		}
 		return renewal, s.storedEnd > s.ackedEnd || !s.unreachableSince.IsZero()
 	}
-	renewal.MaxWait = maxReportDelay
+	renewal.MaxWait = s.maxReportDelay()
 	renewal.LeaseDeadline = d.extendLease(s, now)
-	if s.hasMixedTasks() {
-		renewal.MaxWait = maxReportDelayMixed
-	}
-	if s.storedEnd > s.ackedEnd || s.hasUnresolvedRuns() {
-		renewal.MaxWait = 0
-	}
 	renewal.EndsOnly = now.Sub(s.runsListedAt) < runListInterval && s.canSkipRunList()
 	return renewal, true
 }
 
+// maxReportDelay returns how long the worker may hold the next renewal request.
+func (s *workerState) maxReportDelay() time.Duration {
+	switch {
+	case s.storedEnd > s.ackedEnd || s.hasUnresolvedRuns() || s.runsListedAt.IsZero():
+		return 0
+	case s.hasMixedTasks():
+		return maxReportDelayMixed
+	}
+	return maxReportDelay
+}
+
+// hasNoRuns reports whether nothing is known to run on the worker, and its incarnation has listed its runs.
+func (s *workerState) hasNoRuns() bool {
+	return len(s.runs) == 0 && s.orphanedRuns == 0 && !s.runsListedAt.IsZero()
+}
+
 // extendLease returns the new end of a worker's lease, or zero if the lease must not be extended: that of an unreachable
 // worker is to expire, and a later owner may count on the leases of a term that is not confirmed any more.
 func (d *Dispatcher) extendLease(s *workerState, now time.Time) worker.Clock {
@@ -506,7 +516,7 @@
 		d.recordRestartCrash(s, append(lost, ended...), uncertain, now)
 	}
 	s.incarnation, s.incarnationKnownAt = incarnation, now
-	s.tokenAcknowledged = false
+	s.tokenAcknowledged, s.runsListedAt = false, time.Time{}
 	s.lease = worker.Lease{}
 	if len(uncertain) > 0 {
 		// Deadlines of the earlier incarnation's clock may exceed the longest lease on the new one's.
