dispatch: a stop that an earlier incarnation confirmed does not settle a run

What callers saw: a task may run twice, and a run of a cancelled job may begin unnoticed.

Cause: a restart of a worker takes back the confirmed stops of runs whose start may still take effect. If the restart became known, by the entry of the worker, between the stop and the handling of its response, the response set the confirmation again. The next report, without the run, then settled it, although the new incarnation had seen no stop.

Evidence: dispatch TestStopOfEarlierIncarnation failed before: the runs do "not contain" the run after the report of the new incarnation.

Change: a confirmation counts only if the incarnation is the one to which the stop was sent as far as the owner knows. Otherwise the next report shows the run, or the stop is repeated.

--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -1,10 +1,17 @@
 package dispatch
 
 import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/queue"
 	"hibiscuslane.example/hibiscuslane/worker"
 )
 
@@ -22,3 +29,25 @@
 	require.True(t, isAsked)
 	require.False(t, renewal.EndsOnly)
 }
+
+// TestStopOfEarlierIncarnation guards against a run that counts as stopped although its start may still take effect: an
+// earlier incarnation of the worker has confirmed the stop, and the restart was known before its response.
+func TestStopOfEarlierIncarnation(t *testing.T) {
+	d := newIdleDispatcher(t, queue.New(1, nil, []queue.Pool{{Name: "desk"}}))
+	s := &workerState{id: "w", incarnation: 1000, runs: map[runID]*run{}, orders: make(chan func(context.Context), 1), renewalRequests: make(chan struct{}, 1), tokenAcknowledged: true}
+	d.workers["w"] = s
+	r := addRun(d, s, d.firstRunNumber(), phaseUnconfirmed)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		d.mu.Lock()
+		d.handleRestart(s, 2000)
+		d.mu.Unlock()
+		_, _ = w.Write([]byte(`{"clock_ms":500}`))
+	}))
+	defer server.Close()
+	s.client = &platform.Worker{ID: "w", Address: instance.Address(strings.TrimPrefix(server.URL, "http://")), Client: platform.NewDirectClient()}
+	d.stopRun(r, d.clock.Now())
+	(<-s.orders)(t.Context())
+	sent := d.clock.Now()
+	d.applyReport(s, reportOf(2000), sent, sent)
+	require.Contains(t, d.runs, r.id)
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -281,9 +281,13 @@
 		return
 	}
 	r.stopSentAt = now
+	incarnation := s.incarnation
 	d.orderStop(s, r.id, func(err error) {
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		if err == nil && s.incarnation != incarnation {
+			return // the start may still take effect on the new incarnation
+		}
 		if err != nil {
 			d.avoidCarrier(s, err)
 			d.log.Info(eventStopFailed, "task", r.id.key.String(), "run", r.id.number, "worker", s.id, "error", err)
