--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -21,3 +21,20 @@
 		s.requestRenewal()
 	}
 }
+
+// stopOrphanedRuns stops the runs on a worker that the owner does not know. A stop is repeated while the run is listed, but
+// not for each report: many stops would delay the other orders.
+func (d *Dispatcher) stopOrphanedRuns(s *workerState, now time.Time) {
+	for id, stopSentAt := range s.orphanedRuns {
+		if now.Sub(stopSentAt) < stopRetryInterval {
+			continue
+		}
+		s.orphanedRuns[id] = now
+		d.log.Info(eventOrphanedRun, "worker", s.id, "task", id.key.String(), "run", id.number)
+		d.orderStop(s, id, func(err error) {
+			if err != nil {
+				d.log.Debug(eventStopFailed, "worker", s.id, "task", id.key.String(), "run", id.number, "error", err)
+			}
+		})
+	}
+}
--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -12,6 +12,7 @@
 	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/queue"
+	"hibiscuslane.example/hibiscuslane/task"
 	"hibiscuslane.example/hibiscuslane/worker"
 )
 
@@ -51,3 +52,21 @@
 	d.applyReport(s, reportOf(2000), sent, sent)
 	require.Contains(t, d.runs, r.id)
 }
+
+// TestUnknownRunsFillQueue guards against stops that wait for seconds behind hundreds of stops of the same unknown runs: one
+// was sent for each report, and a worker may take its time to end a run.
+func TestUnknownRunsFillQueue(t *testing.T) {
+	d := newIdleDispatcher(t, queue.New(1, nil, []queue.Pool{{Name: "desk"}}))
+	s := &workerState{id: "w", incarnation: 1000, runs: map[runID]*run{}, orders: make(chan func(context.Context), maxQueuedOrders), tokenAcknowledged: true}
+	report := worker.Report{Incarnation: 1000, HasRunning: true}
+	const unknownRuns, reports = 16, 20 // reports are requested every 50 ms while there are unknown runs
+	for n := range unknownRuns {
+		report.Running = append(report.Running, worker.Run{Key: task.Key{Job: "00000000000000bb", Task: n}, Number: 1})
+	}
+	now := d.clock.Now()
+	for range reports {
+		now = now.Add(2 * minRenewalPause)
+		d.applyReport(s, report, now, now)
+	}
+	require.Equal(t, 2*unknownRuns, len(s.orders), "a stop that may be lost is repeated after %s", stopRetryInterval)
+}
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -87,9 +87,9 @@
 	reportedEnd, submittedEnd, storedEnd, ackedEnd worker.EndNumber
 	// unreachableSince is when lease renewals began to fail; zero while they succeed.
 	unreachableSince time.Time
-	// orphanedRuns is the number of runs in the last report that the owner does not know. The capacity that
-	// they use is unknown too, so the worker takes no tasks until they have ended.
-	orphanedRuns int
+	// orphanedRuns are the runs in the last report that the owner does not know, with the time of the last stop. The
+	// capacity that they use is unknown too, so the worker takes no tasks until they have ended.
+	orphanedRuns map[runID]time.Time
 	// runsListedAt is when the worker last listed all its runs; zero if its incarnation has not.
 	runsListedAt time.Time
 	// suspectUntil is the time until which the worker is chosen last.
@@ -293,7 +293,7 @@
 
 // hasNoRuns reports whether nothing is known to run on the worker, and its incarnation has listed its runs.
 func (s *workerState) hasNoRuns() bool {
-	return len(s.runs) == 0 && s.orphanedRuns == 0 && !s.runsListedAt.IsZero()
+	return len(s.runs) == 0 && len(s.orphanedRuns) == 0 && !s.runsListedAt.IsZero()
 }
 
 // extendLease returns the new end of a worker's lease, or zero if the lease must not be extended: that of an unreachable
@@ -311,7 +311,7 @@
 // canSkipRunList reports whether the next report need not list the runs: all runs are known to be running,
 // the long-running ones at full speed, and no speed has to be adjusted.
 func (s *workerState) canSkipRunList() bool {
-	if s.orphanedRuns > 0 {
+	if len(s.orphanedRuns) > 0 {
 		return false
 	}
 	for _, r := range s.runs {
@@ -325,7 +325,7 @@
 // hasUnresolvedRuns reports whether the worker has orphaned runs, or runs whose start or stop is not
 // confirmed. The next report resolves them, so it is requested without delay.
 func (s *workerState) hasUnresolvedRuns() bool {
-	if s.orphanedRuns > 0 {
+	if len(s.orphanedRuns) > 0 {
 		return true
 	}
 	for _, r := range s.runs {
@@ -466,7 +466,7 @@
 // reconcileRuns compares the runs that a worker lists with those that the owner expects there.
 func (d *Dispatcher) reconcileRuns(s *workerState, report worker.Report, sent, now time.Time) {
 	listed := map[runID]bool{}
-	s.orphanedRuns = 0
+	orphanedRuns := map[runID]time.Time{}
 	for _, reported := range report.Running {
 		id := runID{key: reported.Key, number: reported.Number}
 		listed[id] = true
@@ -474,9 +474,10 @@
 			d.applyRunReport(r, reported, now)
 			continue
 		}
-		s.orphanedRuns++
-		d.stopOrphanedRun(s, id)
+		orphanedRuns[id] = s.orphanedRuns[id]
 	}
+	s.orphanedRuns = orphanedRuns
+	d.stopOrphanedRuns(s, now)
 	d.attributeCrash(s, listed, sent, now)
 	for id, r := range s.runs {
 		if !listed[id] {
@@ -485,16 +486,6 @@
 	}
 }
 
-// stopOrphanedRun stops a run that the owner does not know.
-func (d *Dispatcher) stopOrphanedRun(s *workerState, id runID) {
-	d.log.Info(eventOrphanedRun, "worker", s.id, "task", id.key.String(), "run", id.number)
-	d.orderStop(s, id, func(err error) {
-		if err != nil {
-			d.log.Debug(eventStopFailed, "worker", s.id, "task", id.key.String(), "run", id.number, "error", err)
-		}
-	})
-}
-
 // handleRestart processes a new incarnation of a worker. The runs that a report of the earlier one has listed have ended.
 // Any other order may have reached the new one, whether it was answered or not: the next report shows which.
 func (d *Dispatcher) handleRestart(s *workerState, incarnation worker.Incarnation) {
@@ -522,7 +513,7 @@
 		// Deadlines of the earlier incarnation's clock may exceed the longest lease on the new one's.
 		s.lease.HeldUntil = now.Add(d.timing.MaxLease + maxLeaseLifetime)
 	}
-	s.reportedEnd, s.submittedEnd, s.storedEnd, s.ackedEnd, s.orphanedRuns = 0, 0, 0, 0, 0
+	s.reportedEnd, s.submittedEnd, s.storedEnd, s.ackedEnd, s.orphanedRuns = 0, 0, 0, 0, nil
 	for _, r := range uncertain {
 		if r.phase != phaseStopping {
 			r.phase = phaseUnconfirmed
