dispatch: renewals do not keep runs of ended jobs alive

What callers saw: a run of a cancelled job works on for as long as its stops are lost or fail.

Cause: a worker with unknown runs, or with runs of ended jobs, is asked for reports until they have ended, and each of these renewals extended the lease, which would have ended them otherwise.

Evidence: dispatch TestLeaseOfUnwantedRuns failed before: "Should be zero, but was 4000" for the deadline.

Change: the lease of a worker is extended only while it has a run of a job that has not ended. A start grants a lease of its own, as before.

--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -38,3 +38,13 @@
 		})
 	}
 }
+
+// hasRunOfOpenJob reports whether a job of one of the runs on the worker has not ended.
+func (s *workerState) hasRunOfOpenJob() bool {
+	for _, r := range s.runs {
+		if r.job.Outcome == "" {
+			return true
+		}
+	}
+	return false
+}
--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -70,3 +70,23 @@
 	}
 	require.Equal(t, 2*unknownRuns, len(s.orders), "a stop that may be lost is repeated after %s", stopRetryInterval)
 }
+
+// TestLeaseOfUnwantedRuns guards against a run of a cancelled job, known or not, whose stops are lost and that the owner
+// keeps alive by its renewals.
+func TestLeaseOfUnwantedRuns(t *testing.T) {
+	d, s, listed, unlisted := newRestart(t)
+	listed.job.Outcome = task.StateCancelled
+	renewal, _ := d.nextRenewal(s)
+	require.NotZero(t, renewal.LeaseDeadline)
+	unlisted.job.Outcome = task.StateCancelled
+	renewal, isAsked := d.nextRenewal(s)
+	require.True(t, isAsked)
+	require.Zero(t, renewal.LeaseDeadline)
+	d.removeRun(listed)
+	d.removeRun(unlisted)
+	now := d.clock.Now()
+	d.applyReport(s, reportOf(1000, listed), now, now)
+	renewal, isAsked = d.nextRenewal(s)
+	require.True(t, isAsked)
+	require.Zero(t, renewal.LeaseDeadline)
+}
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -263,7 +263,7 @@
 	renewal := platform.Renewal{FencingToken: worker.FencingToken(d.epoch), LastSeenEnd: s.storedEnd}
 	switch {
 	case !s.tokenAcknowledged || s.incarnation == 0:
-		if len(s.runs) > 0 && s.lease.HasClock() {
+		if s.lease.HasClock() {
 			renewal.LeaseDeadline = d.extendLease(s, now)
 		}
 		return renewal, true
@@ -297,9 +297,10 @@
 }
 
 // extendLease returns the new end of a worker's lease, or zero if the lease must not be extended: that of an unreachable
-// worker is to expire, and a later owner may count on the leases of a term that is not confirmed any more.
+// worker is to expire, a later owner may count on the leases of a term that is not confirmed any more, and without a lease
+// runs that are to be stopped end also if their stops are lost.
 func (d *Dispatcher) extendLease(s *workerState, now time.Time) worker.Clock {
-	if !s.unreachableSince.IsZero() || !d.mayOrder() {
+	if !s.unreachableSince.IsZero() || !d.mayOrder() || !s.hasRunOfOpenJob() {
 		return 0
 	}
 	if margin := s.lease.Remaining(now); s.lease.IsGranted() && d.leaseMargins.add(margin, now) {
