dispatch: a start that is confirmed after its job has ended is stopped at once

What callers saw: a run of a cancelled job works on for up to two seconds longer than needed.

Cause: a run whose start has no answer yet keeps that state when its job is cancelled, and one stop is sent. If that stop is lost, or dropped because too many orders wait, and the start is then confirmed, the run counts as one that is to go on: the next report may leave out the list of runs and wait for an end, and only a list repeats the stop.

Evidence: dispatch TestLateConfirmation failed before: expected "stopping", actual "running".

Change: such a run is stopped when its start is confirmed.

--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -90,3 +90,14 @@
 	require.True(t, isAsked)
 	require.Zero(t, renewal.LeaseDeadline)
 }
+
+// TestLateConfirmation guards against a run that works on for seconds although its job was cancelled: its stop was lost
+// while its start was not confirmed yet, and it then counted as wanted until the next list of runs.
+func TestLateConfirmation(t *testing.T) {
+	d, s, _, _ := newRestart(t)
+	r := addRun(d, s, d.firstRunNumber()+2, phaseStarting)
+	r.job.Outcome = task.StateCancelled
+	d.handleStartResult(r, s, nil)
+	require.Equal(t, phaseStopping, r.phase)
+	require.NotZero(t, r.stopSentAt)
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -155,6 +155,9 @@
 	}
 	if err == nil {
 		d.confirmStart(r, now)
+		if r.job.Outcome != "" || r.task().Done {
+			d.stopRun(r, now) // an earlier stop may be lost
+		}
 		s.requestRenewal()
 		return
 	}
