dispatch: a registered restart whose time is earlier is looked into

What callers saw: a run that the owner does not know may work on for as long as a lease lasts.

Cause: an incarnation is named by the time of its start. If the clock of the worker was set back, the entry of the new incarnation has an earlier time and was ignored, and a worker without runs is not asked for a report that would show the restart.

Evidence: dispatch TestRestartWithEarlierClock failed before: "Should be true" for whether the worker is asked.

Change: an entry whose time has changed and is not that of the known incarnation makes the owner ask for the runs. The report decides, since an entry may also be older than the newest report.

--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -101,3 +101,16 @@
 	require.Equal(t, phaseStopping, r.phase)
 	require.NotZero(t, r.stopSentAt)
 }
+
+// TestRestartWithEarlierClock guards against a restart that stays unknown because the clock of the worker was set back.
+func TestRestartWithEarlierClock(t *testing.T) {
+	d, s, listed, unlisted := newRestart(t)
+	d.removeRun(listed)
+	d.removeRun(unlisted)
+	_, isAsked := d.nextRenewal(s)
+	require.False(t, isAsked)
+	d.applyRegistration(entryRecord("w", "desk", 900))
+	renewal, isAsked := d.nextRenewal(s)
+	require.True(t, isAsked)
+	require.False(t, renewal.EndsOnly)
+}
--- a/dispatch/registration.go
+++ b/dispatch/registration.go
@@ -135,10 +135,7 @@
 	if known && previous.State != registration.State {
 		d.log.Info(eventWorkerStateChanged, "worker", id, "state", registration.State, "runs", len(s.runs), "offset", record.Offset)
 	}
-	if registration.Incarnation != 0 && s.incarnation != 0 && registration.Incarnation > s.incarnation {
-		d.handleRestart(s, registration.Incarnation)
-		s.requestRenewal()
-	}
+	d.checkIncarnation(s, previous.Incarnation, registration.Incarnation)
 	if registration.Address != s.registration.Address {
 		s.client = &platform.Worker{ID: registration.ID, Address: registration.Address, Client: d.workerClient}
 	}
@@ -146,6 +143,20 @@
 	s.rack = rackLabel(registration.Labels)
 }
 
+// checkIncarnation processes the incarnation in a changed registration of a known worker.
+func (d *Dispatcher) checkIncarnation(s *workerState, previous, registered worker.Incarnation) {
+	switch {
+	case registered == 0 || s.incarnation == 0 || registered == s.incarnation:
+	case registered > s.incarnation:
+		d.handleRestart(s, registered)
+		s.requestRenewal()
+	case registered != previous:
+		// The clock of the worker may have been set back before a restart. The next report shows that.
+		s.runsListedAt = time.Time{}
+		s.requestRenewal()
+	}
+}
+
 // isPoolNamed reports whether a configuration or a stored job has named a pool in this term. Entries of other pools come
 // from other programs and say nothing about the workers of a machine. While no configuration is known, workers are accepted
 // so that their leases are renewed.
