dispatch: stops do not wait behind starts that are not answered

What callers saw: a task of a cancelled job works on for 6 s after the cancel was acknowledged, on a worker that leaves starts unanswered and answers stops and renewals.

Cause: the orders of a worker are sent one after the other, in the order in which they were queued, and each that is not answered takes 0.4 s. Behind 15 starts a stop waits for 6 s. Orders through a carrier do not: a carrier drops them 1 s after its stamp, and the owner then calls the worker itself.

Change: stops have a queue of their own, which goes first. A stop cannot overtake the start of its run there: a run whose start is still queued is removed, and a start that is being sent holds up both queues.

--- a/dispatch/carriers.go
+++ b/dispatch/carriers.go
@@ -191,7 +191,7 @@
 	s := r.worker
 	via := d.carrierOf(s)
 	if via == nil {
-		return s.enqueueOrder(func(ctx context.Context) { d.sendStart(ctx, r) })
+		return enqueueOrder(s.orders, func(ctx context.Context) { d.sendStart(ctx, r) })
 	}
 	if order, ok := d.prepareStart(r); ok {
 		via.StartRun(order, orderTimeout, func(err error) {
@@ -211,7 +211,7 @@
 		via.StopRun(id.key, id.number, token, orderTimeout, handle)
 		return
 	}
-	s.enqueueOrder(func(ctx context.Context) { handle(d.clientOf(s).StopRun(ctx, id.key, id.number, token)) })
+	enqueueOrder(s.stops, func(ctx context.Context) { handle(d.clientOf(s).StopRun(ctx, id.key, id.number, token)) })
 }
 
 // orderSpeed sends an order to throttle a run. The handle function is called with the result; not if too many orders wait.
@@ -221,7 +221,7 @@
 		via.SetSpeed(id.key, id.number, percent, token, orderTimeout, handle)
 		return
 	}
-	s.enqueueOrder(func(ctx context.Context) { handle(d.clientOf(s).SetSpeed(ctx, id.key, id.number, percent, token)) })
+	enqueueOrder(s.orders, func(ctx context.Context) { handle(d.clientOf(s).SetSpeed(ctx, id.key, id.number, percent, token)) })
 }
 
 // clientOf returns the client of a worker at its present address, for a call that is sent without the lock.
--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -35,7 +35,7 @@
 // earlier incarnation of the worker has confirmed the stop, and the restart was known before its response.
 func TestStopOfEarlierIncarnation(t *testing.T) {
 	d := newIdleDispatcher(t, queue.New(1, nil, []queue.Pool{{Name: "desk"}}))
-	s := &workerState{id: "w", incarnation: 1000, runs: map[runID]*run{}, orders: make(chan func(context.Context), 1), renewalRequests: make(chan struct{}, 1), tokenAcknowledged: true}
+	s := &workerState{id: "w", incarnation: 1000, runs: map[runID]*run{}, stops: make(chan func(context.Context), 1), renewalRequests: make(chan struct{}, 1), tokenAcknowledged: true}
 	d.workers["w"] = s
 	r := addRun(d, s, d.firstRunNumber(), phaseUnconfirmed)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -47,7 +47,7 @@
 	defer server.Close()
 	s.client = &platform.Worker{ID: "w", Address: instance.Address(strings.TrimPrefix(server.URL, "http://")), Client: platform.NewDirectClient()}
 	d.stopRun(r, d.clock.Now())
-	(<-s.orders)(t.Context())
+	(<-s.stops)(t.Context())
 	sent := d.clock.Now()
 	d.applyReport(s, reportOf(2000), sent, sent)
 	require.Contains(t, d.runs, r.id)
@@ -57,7 +57,7 @@
 // was sent for each report, and a worker may take its time to end a run.
 func TestUnknownRunsFillQueue(t *testing.T) {
 	d := newIdleDispatcher(t, queue.New(1, nil, []queue.Pool{{Name: "desk"}}))
-	s := &workerState{id: "w", incarnation: 1000, runs: map[runID]*run{}, orders: make(chan func(context.Context), maxQueuedOrders), tokenAcknowledged: true}
+	s := &workerState{id: "w", incarnation: 1000, runs: map[runID]*run{}, stops: make(chan func(context.Context), maxQueuedOrders), tokenAcknowledged: true}
 	report := worker.Report{Incarnation: 1000, HasRunning: true}
 	const unknownRuns, reports = 16, 20 // reports are requested every 50 ms while there are unknown runs
 	for n := range unknownRuns {
@@ -68,7 +68,7 @@
 		now = now.Add(2 * minRenewalPause)
 		d.applyReport(s, report, now, now)
 	}
-	require.Equal(t, 2*unknownRuns, len(s.orders), "a stop that may be lost is repeated after %s", stopRetryInterval)
+	require.Equal(t, 2*unknownRuns, len(s.stops), "a stop that may be lost is repeated after %s", stopRetryInterval)
 }
 
 // TestLeaseOfUnwantedRuns guards against a run of a cancelled job, known or not, whose stops are lost and that the owner
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -96,8 +96,9 @@
 	suspectUntil time.Time
 	// consecutiveFailures is the number of failed runs since the last successful one.
 	consecutiveFailures int
-	orders              chan func(context.Context)
-	renewalRequests     chan struct{}
+	// orders are the queued orders, except stops, and stops the queued stops.
+	orders, stops   chan func(context.Context)
+	renewalRequests chan struct{}
 	// session carries the calls to the worker while directUntil has passed (see carrierOf). It was assigned when the carriers
 	// had the version sessionVersion.
 	session        *carrier.Session
@@ -138,11 +139,10 @@
 	}
 }
 
-// enqueueOrder queues an order for the worker and reports whether the queue had space. The orders of one
-// worker are sent one after the other.
-func (s *workerState) enqueueOrder(order func(context.Context)) bool {
+// enqueueOrder adds an order to one of the queues of a worker and reports whether the queue had space.
+func enqueueOrder(queue chan func(context.Context), order func(context.Context)) bool {
 	select {
-	case s.orders <- order:
+	case queue <- order:
 		return true
 	default:
 		return false
@@ -170,7 +170,7 @@
 	s := &workerState{
 		id: registration.ID, incarnation: registration.Incarnation, registration: registration, rack: rackLabel(registration.Labels), runs: map[runID]*run{},
 		client: &platform.Worker{ID: registration.ID, Address: registration.Address, Client: d.workerClient},
-		orders: make(chan func(context.Context), maxQueuedOrders), renewalRequests: make(chan struct{}, 1), cancel: cancel,
+		orders: make(chan func(context.Context), maxQueuedOrders), stops: make(chan func(context.Context), maxQueuedOrders), renewalRequests: make(chan struct{}, 1), cancel: cancel,
 		idleSince: d.clock.Now(), incarnationKnownAt: d.clock.Now(),
 	}
 	d.workers[registration.ID] = s
@@ -220,17 +220,34 @@
 	}
 }
 
-// sendOrders sends the queued orders of a worker one after the other.
+// sendOrders sends the queued orders of a worker one after the other. Stops go first, because each start that is not
+// answered takes orderTimeout.
 func (d *Dispatcher) sendOrders(ctx context.Context, s *workerState) {
-	for {
-		select {
-		case <-ctx.Done():
+	for ctx.Err() == nil {
+		order := s.nextOrder(ctx)
+		if order == nil {
 			return
-		case order := <-s.orders:
-			callCtx, cancel := d.clock.WithTimeout(ctx, orderTimeout)
-			order(callCtx)
-			cancel()
 		}
+		callCtx, cancel := d.clock.WithTimeout(ctx, orderTimeout)
+		order(callCtx)
+		cancel()
+	}
+}
+
+// nextOrder waits for the order to send next. It returns nil once ctx has ended.
+func (s *workerState) nextOrder(ctx context.Context) func(context.Context) {
+	select {
+	case order := <-s.stops:
+		return order
+	default:
+	}
+	select {
+	case <-ctx.Done():
+		return nil
+	case order := <-s.stops:
+		return order
+	case order := <-s.orders:
+		return order
 	}
 }
 
--- a/process/late_test.go
+++ b/process/late_test.go
@@ -10,8 +10,12 @@
 	"hibiscuslane.example/hibiscuslane/standin/fabric"
 )
 
-// lateRunTime is how long a run of a cancelled job may last that a worker has started late.
-const lateRunTime = 3 * time.Second
+const (
+	// lateRunTime is how long a run of a cancelled job may last that a worker has started late.
+	lateRunTime = 3 * time.Second
+	// maxCancelTime is how long after the acknowledgement of a cancel a run of the job may last.
+	maxCancelTime = 3 * time.Second
+)
 
 // TestCancelledJobStartsLate guards against a task of a cancelled job that works on for as long as a lease lasts: its start
 // had no answer, its stop was confirmed, and the worker restarted under its id before it carried out the start.
@@ -35,3 +39,22 @@
 	time.Sleep(lateRunTime)
 	require.Empty(t, c.RunningTasks())
 }
+
+// TestStopBehindStarts guards against a run that works on for seconds after its job was cancelled: its stop waited behind
+// the starts of other tasks, each of which waited for an answer of the worker until its timeout.
+func TestStopBehindStarts(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	c.PublishConfig(1, []string{"desk"}, "")
+	c.AddMachine("desk", cores16, false)
+	e := c.start("entry-1")
+	first, second := fabric.JobID(1), fabric.JobID(2)
+	c.submit(e, "desk", first, fabric.JobBody(1000, 20000, 1))
+	require.Eventually(t, func() bool { return c.StartCount(first+".0.0.0") == 1 }, waitTimeout, time.Millisecond)
+	c.Workers()[0].DelayStarts(100, time.Minute)
+	c.submit(e, "desk", second, fabric.JobBody(1000, 20000, 15))
+	status, _ := c.call(e, http.MethodDelete, "/desk/"+first, "")
+	require.Equal(t, http.StatusOK, status)
+	time.Sleep(maxCancelTime)
+	require.Empty(t, c.RunningTasks())
+}
