carrier: an order bears the stamp that was the newest when it was queued

What workers saw: an order may be sent by an owner seconds after it decided on it, because it was paused in between.

Cause: a message takes the newest stamp when it is written. An owner that continues after a pause may first read the stamps that its carrier has sent meanwhile, and then writes the orders from before the pause with the newest of them, so that the carrier does not drop them. Class of fault: a permission is read later than the decision that it covers.

Evidence: carrier TestPausedOwnerSendsOrders failed before: expected stamp 1000, actual 5000.

Change: the stamp is taken when the first order of a message is queued. An empty message still takes the newest, which keeps the session open.

--- a/carrier/session.go
+++ b/carrier/session.go
@@ -45,10 +45,12 @@
 	receivedAt time.Time
 	// sentAt is when the last message was sent.
 	sentAt time.Time
-	// queued holds the orders to send, and payloads the payloads of the starts among them with their indexes.
-	queued   []*Order
-	payloads []string
-	indexes  map[string]int32
+	// queued holds the orders to send, and payloads the payloads of the starts among them with their indexes. queuedStamp is
+	// the stamp that was the newest when the first of them was queued.
+	queued      []*Order
+	queuedStamp int64
+	payloads    []string
+	indexes     map[string]int32
 	// calls holds the calls without a result, by the number of their order. It is nil once the session has ended.
 	calls      map[uint64]call
 	lastNumber uint64
@@ -161,6 +163,9 @@
 	if order.Kind == Kind_START {
 		order.Payload = s.payloadIndex(payload)
 	}
+	if len(s.queued) == 0 {
+		s.queuedStamp = s.stamp
+	}
 	s.calls[order.Number] = call{expiry: now.Add(timeout + resultSlack), handle: handle}
 	s.queued = append(s.queued, order)
 	s.mu.Unlock()
@@ -199,6 +204,9 @@
 		}
 		s.mu.Lock()
 		batch := &Batch{Stamp: s.stamp, Orders: s.queued, Payloads: s.payloads}
+		if len(s.queued) > 0 {
+			batch.Stamp = s.queuedStamp // a newer stamp may have been received after a pause of this process
+		}
 		s.queued, s.payloads, s.indexes = nil, nil, nil
 		s.sentAt = s.clock.Now()
 		s.mu.Unlock()
--- a/carrier/session_test.go
+++ b/carrier/session_test.go
@@ -108,6 +108,26 @@
 	require.EqualValues(t, "late", refusal)
 }
 
+// TestPausedOwnerSendsOrders guards against tasks that are started by an owner that was paused after its decision: when it
+// continued, it received the carrier's stamps of that time and returned the newest with its order.
+func TestPausedOwnerSendsOrders(t *testing.T) {
+	near, far := net.Pipe()
+	const before, after = 1000, 5000
+	s := &Session{conn: near, clock: &timer.Service{}, wake: make(chan struct{}, 1), closed: make(chan struct{}), stamp: before, calls: map[uint64]call{}}
+	defer s.Close()
+	s.send(&Order{Kind: Kind_START}, "p", testCallTimeout, func(*Result, error) {})
+	s.stamp = after
+	go s.write()
+	reader, batch := bufio.NewReader(far), &Batch{}
+	require.NoError(t, readMessage(reader, batch))
+	require.Len(t, batch.Orders, 1)
+	require.EqualValues(t, before, batch.Stamp)
+	s.requestWrite()
+	batch = &Batch{}
+	require.NoError(t, readMessage(reader, batch))
+	require.EqualValues(t, after, batch.Stamp, "the session is kept open")
+}
+
 // TestPausedCarrierSendsNothing guards against a carrier that was paused, or got a message late, and then starts tasks with
 // a permission that had run out meanwhile.
 func TestPausedCarrierSendsNothing(t *testing.T) {
