platform: an answer without a clock is not a report of a worker

Addresses are used again by other programs. One that answers whatever it is asked with 200 and JSON, such as {} or null, was taken for the worker: the owner read a report without runs, ended all confirmed runs there and started their tasks elsewhere, while the worker may still run them until its lease ends (TWICE). Only other workers check whom a call names (421).

Before: dispatch TestForeignAnswerEndsRuns, for each of {}, null and empty lists, "map[dispatch.runID]*dispatch.run{} does not contain ...". An empty body was no report before either.

--- a/dispatch/address_test.go
+++ b/dispatch/address_test.go
@@ -94,3 +94,17 @@
 		}
 	}
 }
+
+// TestForeignAnswerEndsRuns guards against a task that runs twice because another program has taken the address of its worker
+// and confirms whatever it is asked: an answer without a clock counted as a report without runs.
+func TestForeignAnswerEndsRuns(t *testing.T) {
+	for _, answer := range []string{"", "{}", "null", `{"running":[],"ended":[]}`} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, answer) }))
+		defer server.Close()
+		d, s, listed, _ := newRestart(t)
+		s.client = &platform.Worker{ID: "w", Address: addressOf(server), Client: platform.NewDirectClient()}
+		d.renewLease(t.Context(), s, platform.Renewal{})
+		assert.Contains(t, d.runs, listed.id, "answer %q", answer)
+		assert.NotZero(t, s.unreachableSince, "answer %q", answer)
+	}
+}
