task: a stored job with impossible counts or dependencies is not loaded

What callers submit is checked, what the store returns was not. A record among the jobs whose step has a negative or huge count, or depends on a step that does not exist, made the owner panic while it loaded the jobs or in its first cycle, in a goroutine that ends the process; the next owner read the same record. This program writes no such record.

Before, in a trial that loads the record and asks whether its step is ready: "runtime error: makeslice: len out of range" and "index out of range [7] with length 1". TestOddSubmissionEndsOwners failed with "An error is expected but got nil." for all nine records.

The specification is now checked when it is decoded, as that of a caller is: the record is logged (job.unreadable) and skipped, and its runs are stopped as unknown ones.

--- a/task/record.go
+++ b/task/record.go
@@ -47,12 +47,18 @@
 	return data, nil
 }
 
+// errInvalidSpec is the cause of a RecordError if the steps of a stored job are not those of a job that was accepted.
+var errInvalidSpec = errors.New("the specification is invalid")
+
 // ParseSubmission decodes what EncodeSubmission returned. The job has no progress.
 func ParseSubmission(id JobID, data []byte) (*Job, error) {
 	var in submission
 	if err := json.Unmarshal(data, &in); err != nil {
 		return nil, &RecordError{ID: id, Cause: err}
 	}
+	if !in.Spec.isValid() {
+		return nil, &RecordError{ID: id, Cause: errInvalidSpec}
+	}
 	j := New(id, in.Queue, in.Pool, in.Spec, time.UnixMilli(in.AcceptedAt))
 	j.Policy = in.Policy
 	return j, nil
--- a/task/task.go
+++ b/task/task.go
@@ -115,6 +115,26 @@
 // OccurrenceCount returns how many times the job runs.
 func (s Spec) OccurrenceCount() int { return max(s.RepeatCount, 1) }
 
+// MaxTasks limits the tasks of a job, in all steps and occurrences, to a size that one owner can keep in memory.
+const MaxTasks = 100000
+
+// isValid reports whether the job has steps, with tasks within MaxTasks, that depend on earlier ones only.
+func (s Spec) isValid() bool {
+	tasks := 0
+	for i, step := range s.Steps {
+		if step.Count < 1 || step.Count > MaxTasks {
+			return false
+		}
+		tasks += step.Count
+		for _, earlier := range step.DependsOn {
+			if earlier < 0 || earlier >= i {
+				return false
+			}
+		}
+	}
+	return tasks > 0 && s.RepeatCount >= 0 && tasks <= MaxTasks/s.OccurrenceCount()
+}
+
 // DueTime returns the earliest start of an occurrence. It is the zero time for a job without a schedule.
 func (s Spec) DueTime(occurrence int) time.Time {
 	if s.RepeatCount == 0 {
