dispatch: a stored cancel of an unknown job never gets a submission

A repeated cancel of an unknown job that arrived while the first was being stored, and a move of the ledger at that moment, would have stored an empty submission beside it, which a later owner skips together with the cancel. Found by reading.

--- a/dispatch/persistence.go
+++ b/dispatch/persistence.go
@@ -194,7 +194,7 @@
 // changedRecords returns the ledger records to write for a job. The first call includes the submission; for
 // a job that has ended, the submission is deleted.
 func (d *Dispatcher) changedRecords(j *job) []platform.Record {
-	withSubmission := !j.submissionQueued && !j.Unsubmitted
+	withSubmission := !j.submissionQueued
 	j.submissionQueued = true
 	records, ok := d.encodeJob(j, withSubmission)
 	if ok && j.Outcome != "" {
@@ -203,11 +203,11 @@
 	return records
 }
 
-// encodeJob returns the ledger records of a job, with or without its submission. It returns false if a part
-// could not be encoded.
+// encodeJob returns the ledger records of a job, with or without its submission, which an unsubmitted job does not have. It
+// returns false if a part could not be encoded.
 func (d *Dispatcher) encodeJob(j *job, withSubmission bool) ([]platform.Record, bool) {
 	var records []platform.Record
-	if withSubmission {
+	if withSubmission && !j.Unsubmitted {
 		data, err := j.EncodeSubmission()
 		if err != nil {
 			d.log.Error(eventEncodeFailed, "job", j.ID, "error", err)
