soak, fabric: starts and responses after an acknowledged cancel are judged

Work that nobody asked for passed every run of the soak: a 410 counted as an acknowledged cancel whatever came after it, a cancelled job could be completed, and no check compared a start with what callers had been told.

Change: the stand-in platform knows what each job was submitted as, when a caller had the acknowledgement of its cancel, and when processes, machines and the store were disturbed. A start with another specification, with a checkpoint that no run of the task has reported, of a refused job, or later than 3 s after the acknowledgement is a violation, and so is a run that outlasts 3.5 s without disturbance after it. A late start is held against the sender only if it was in touch: the holder of the fencing token, the worker and the store undisturbed for 3 s.

The callers of the soak record every request with its response. They cancel half of the accepted jobs, some several times, by any entry; repeat submissions after the cancel; ask for states; and give up some submissions, preferably at a paused entry, then cancel by another one. Said not to exist after the acceptance, shown as not ended 2 s after the cancel, and completed after it are violations. The flag -entries sets the number of entries.

TestStartAfterCancel, TestRunAfterCancel and TestUnaskedStarts check the judging itself.

--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -1,9 +1,11 @@
 package soak_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -12,27 +14,30 @@
 	"hibiscuslane.example/hibiscuslane/standin/fabric"
 )
 
-// jobOutcome is what a caller knows about a job from the responses it received.
-type jobOutcome string
-
 const (
-	outcomeAccepted  jobOutcome = "accepted"
-	outcomeCancelled jobOutcome = "cancelled" // the cancellation was acknowledged
-	outcomeUnknown   jobOutcome = "unknown"   // no response told whether the job was accepted or cancelled
-	outcomeRefused   jobOutcome = "refused"   // every response said that the job does not run
+	// statusRetention is for how long the state of an ended job can be asked for.
+	statusRetention = 60 * time.Second
+	// visibleTime is how long after the acknowledgement of a cancel the job may still be shown as pending or running.
+	visibleTime = 2 * time.Second
+	// maxFollowUp is the longest time after the acknowledgement of a submission at which a caller asks for the state.
+	maxFollowUp = 4 * time.Second
+	// connectionsPerEntry is how many open connections to an entry a caller keeps.
+	connectionsPerEntry = 16
 )
 
-// callerGroup submits jobs to random entries over keep-alive connections and retries requests that were refused or
-// got no response.
+// callerGroup submits jobs to random entries over connections that stay open, retries requests that were refused or got
+// no response, cancels jobs and asks for their states.
 type callerGroup struct {
 	platform *fabric.Platform
 	entries  []*entry
 	pools    []string
+	// followUps are the callers that cancel jobs or ask for states while their group submits further ones.
+	followUps sync.WaitGroup
 
 	mu        sync.Mutex
-	outcomes  map[string]jobOutcome // by job id
-	jobPools  map[string]string     // pool by job id
+	histories map[string]*history // by job id
 	submitted int
+	abandoned []net.Conn // connections on which a caller no longer waits for a response
 }
 
 // sendRequest sends one request and returns its status and body. Status 0 means that no response arrived.
@@ -54,11 +59,15 @@
 	return resp.StatusCode, string(data)
 }
 
+// newClient returns a client that reuses its connections until the entry closes them.
+func newClient() *http.Client {
+	return &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: connectionsPerEntry}}
+}
+
 // submitUntil submits jobs one after the other, at random intervals, until stop is closed.
 func (c *callerGroup) submitUntil(seed uint64, stop <-chan struct{}) {
 	random := rand.New(rand.NewPCG(seed, 1))
-	client := &http.Client{Timeout: callTimeout, Transport: &http.Transport{}}
-	defer client.CloseIdleConnections()
+	client := newClient()
 	for {
 		select {
 		case <-stop:
@@ -69,65 +78,163 @@
 	}
 }
 
-// submitJob submits one job of one or two steps. It cancels an accepted job with a probability of one in eight.
+// submitJob submits one job of one or two steps. One in six callers does not wait for the response and cancels the job by
+// another entry. About half of the other jobs are cancelled soon after their acceptance, among them all long ones.
 func (c *callerGroup) submitJob(client *http.Client, random *rand.Rand) {
-	counts := []int{1 + random.IntN(4)}
+	job := fabric.Job{CPU: 1000 + random.IntN(5000), Millis: 50 + random.IntN(600), Counts: []int{1 + random.IntN(4)}, Checkpoints: random.IntN(3) == 0}
 	if random.IntN(2) == 0 {
-		counts = append(counts, 1+random.IntN(3))
+		job.Counts = append(job.Counts, 1+random.IntN(3))
+	}
+	cancels := random.IntN(2) == 0
+	if cancels && random.IntN(5) == 0 {
+		job.Millis = 5000
 	}
 	c.mu.Lock()
 	c.submitted++
-	id := fabric.JobID(c.submitted)
-	pool := c.pools[random.IntN(len(c.pools))]
-	c.jobPools[id] = pool
+	job.ID = fabric.JobID(c.submitted)
+	h := &history{id: job.ID, path: "/" + c.pools[random.IntN(len(c.pools))] + "/" + job.ID}
+	c.histories[job.ID] = h
 	c.mu.Unlock()
-	c.platform.ExpectJob(id, counts...)
-	body := fabric.JobBody(1000+random.IntN(5000), 50+random.IntN(600), counts...)
-	outcome := c.sendWithRetries(client, random, http.MethodPost, "/"+pool+"/"+id, body)
-	if outcome == outcomeAccepted && random.IntN(8) == 0 {
-		outcome = outcomeUnknown
-		if c.sendWithRetries(client, random, http.MethodDelete, "/"+pool+"/"+id, "") == outcomeAccepted {
-			outcome = outcomeCancelled
+	c.platform.ExpectJob(job)
+	followUpRandom := rand.New(rand.NewPCG(random.Uint64(), 2))
+	if random.IntN(6) == 0 {
+		if e := c.abandonSubmission(random, h, job.Body()); e != nil {
+			c.followUps.Go(func() { c.cancel(client, followUpRandom, h, job, e) })
+			return
 		}
+	} else {
+		c.sendWithRetries(client, random, h, http.MethodPost, job.Body(), nil)
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.outcomes[id] = outcome
+	if h.outcome() == outcomeRefused {
+		c.platform.RecordRefusal(job.ID)
+	}
+	c.followUps.Go(func() {
+		if cancels && h.outcome() == outcomeAccepted {
+			time.Sleep(time.Duration(followUpRandom.IntN(300)) * time.Millisecond)
+			c.cancel(client, followUpRandom, h, job, nil)
+			return
+		}
+		c.askForState(client, followUpRandom, h)
+	})
 }
 
-// sendWithRetries sends a request up to five times, each time to a randomly chosen entry. For a cancellation,
-// outcomeAccepted means that it was confirmed or that the job no longer exists.
-func (c *callerGroup) sendWithRetries(client *http.Client, random *rand.Rand, method, path, body string) jobOutcome {
-	outcome := outcomeRefused
+// cancel cancels a job by any entry but the given one. One in three callers cancels it again, and one in four submits the
+// job once more, as a repeated request that arrives late does.
+func (c *callerGroup) cancel(client *http.Client, random *rand.Rand, h *history, job fabric.Job, except *entry) {
+	if !c.sendWithRetries(client, random, h, http.MethodDelete, "", except) {
+		return
+	}
+	c.platform.RecordCancel(h.id)
+	for random.IntN(3) == 0 {
+		time.Sleep(time.Duration(random.IntN(200)) * time.Millisecond)
+		c.sendWithRetries(client, random, h, http.MethodDelete, "", nil)
+	}
+	if random.IntN(4) == 0 {
+		time.Sleep(time.Duration(random.IntN(1000)) * time.Millisecond)
+		c.send(client, h, c.entries[random.IntN(len(c.entries))], http.MethodPost, job.Body())
+	}
+	c.askForState(client, random, h)
+}
+
+// askForState asks for the state of a job twice.
+func (c *callerGroup) askForState(client *http.Client, random *rand.Rand, h *history) {
+	for range 2 {
+		time.Sleep(time.Duration(random.Int64N(int64(maxFollowUp / 2))))
+		c.send(client, h, c.entries[random.IntN(len(c.entries))], http.MethodGet, "")
+	}
+}
+
+// send sends one request for a job and records it with its response.
+func (c *callerGroup) send(client *http.Client, h *history, e *entry, method, body string) attempt {
+	a := attempt{entry: e.name, method: method, sentAt: time.Now()}
+	a.status, a.body = sendRequest(client, e, method, h.path, body)
+	a.answeredAt = time.Now()
+	h.record(a)
+	return a
+}
+
+// sendWithRetries sends a request up to five times, each time to a randomly chosen entry but the given one, and reports
+// whether it was confirmed. For a cancellation, a job that does not exist is a confirmation.
+func (c *callerGroup) sendWithRetries(client *http.Client, random *rand.Rand, h *history, method, body string, except *entry) bool {
 	for range 5 {
-		status, _ := sendRequest(client, c.entries[random.IntN(len(c.entries))], method, path, body)
-		switch {
-		case status == http.StatusOK || method == http.MethodDelete && status == http.StatusGone:
-			return outcomeAccepted
-		case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
-		default:
-			outcome = outcomeUnknown
+		e := c.entries[random.IntN(len(c.entries))]
+		if e == except {
+			continue
+		}
+		if c.send(client, h, e, method, body).isConfirmed() {
+			return true
 		}
 		time.Sleep(time.Duration(100+random.IntN(300)) * time.Millisecond)
 	}
-	return outcome
+	return false
+}
+
+// abandonSubmission submits a job and gives up soon. It prefers a paused entry half of the time. The connection stays
+// open or is closed. It returns the entry, or nil if the response arrived in time.
+func (c *callerGroup) abandonSubmission(random *rand.Rand, h *history, body string) *entry {
+	e, timeout, stays := c.entries[random.IntN(len(c.entries))], time.Duration(1+random.IntN(300))*time.Millisecond, random.IntN(2) == 0
+	if random.IntN(2) == 0 {
+		for _, other := range c.entries {
+			if other.paused.Load() {
+				e = other
+			}
+		}
+	}
+	a := attempt{entry: e.name, method: http.MethodPost, sentAt: time.Now()}
+	conn, err := net.Dial("tcp", e.callerAddr)
+	if err == nil {
+		_, _ = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: callers\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n%s", h.path, len(body), body)
+		_ = conn.SetReadDeadline(time.Now().Add(timeout))
+		var resp *http.Response
+		if resp, err = http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+			_ = resp.Body.Close()
+			a.status = resp.StatusCode
+		}
+		if err == nil || !stays {
+			_ = conn.Close()
+		} else {
+			c.mu.Lock()
+			c.abandoned = append(c.abandoned, conn)
+			c.mu.Unlock()
+		}
+	}
+	a.answeredAt = time.Now()
+	h.record(a)
+	if err == nil {
+		return nil
+	}
+	return e
 }
 
-// unsettledJobs returns the accepted jobs that are not completed, the cancelled ones that are neither cancelled nor
-// completed, and those of unknown outcome that still run, each with its state.
+// unsettledJobs returns the accepted jobs that are not completed, the cancelled ones that still run, and those of
+// unknown outcome that still run, each with its state.
 func (c *callerGroup) unsettledJobs(client *http.Client) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var unsettled []string
-	for id, outcome := range c.outcomes {
-		status, body := sendRequest(client, c.entries[len(unsettled)%len(c.entries)], http.MethodGet, "/"+c.jobPools[id]+"/"+id, "")
-		state := fmt.Sprintf("%d %s", status, body)
+	for id, h := range c.histories {
+		a := c.send(client, h, c.entries[len(unsettled)%len(c.entries)], http.MethodGet, "")
+		state, outcome := a.state(), h.outcome()
 		switch {
 		case outcome == outcomeAccepted && state != fabric.JobCompleted,
-			outcome == outcomeCancelled && state != fabric.JobCancelled && state != fabric.JobCompleted,
+			outcome == outcomeCancelled && state != fabric.JobCancelled && state != fabric.JobCompleted && a.status != http.StatusGone,
 			outcome == outcomeUnknown && state == fabric.JobRunning:
 			unsettled = append(unsettled, fmt.Sprintf("%s %s: %s", id, outcome, state))
 		}
 	}
 	return unsettled
 }
+
+// violations describes the responses that broke a promise, and ends all connections.
+func (c *callerGroup) violations() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, conn := range c.abandoned {
+		_ = conn.Close()
+	}
+	var violations []string
+	for id, h := range c.histories {
+		violations = append(violations, h.violations(c.platform.DoneAt(id))...)
+	}
+	return violations
+}
--- a/soak/entry_test.go
+++ b/soak/entry_test.go
@@ -8,6 +8,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -30,6 +31,7 @@
 	settings      map[string]any
 	// arguments follow the name of the command.
 	arguments []string
+	paused    atomic.Bool // by SIGSTOP
 
 	mu     sync.Mutex
 	cmd    *exec.Cmd
@@ -114,6 +116,15 @@
 	}()
 }
 
+// pause stops the process for d.
+func (e *entry) pause(d time.Duration) {
+	e.paused.Store(true)
+	e.signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	e.signal(syscall.SIGCONT)
+	e.paused.Store(false)
+}
+
 // signal sends a signal to the process. SIGTERM and SIGKILL mark the exit that follows as expected.
 func (e *entry) signal(s syscall.Signal) {
 	e.mu.Lock()
--- a/standin/fabric/platform.go
+++ b/standin/fabric/platform.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -24,6 +25,9 @@
 	// ProxyAddress returns the address under which a worker is registered, given its machine and its own address. If it
 	// is nil, the worker registers its own address. Set it before the first machine is added.
 	ProxyAddress func(machine, address string) string
+	// SenderOf returns the name, as in RecordDisturbance, of the process that sends starts with a fencing token. If it is
+	// nil or returns an empty string, a disturbance of any process excuses a start. Set it before the entries start.
+	SenderOf func(token int64) string
 	// StoreAddress and FleetAddress are the host and port of the two services.
 	StoreAddress, FleetAddress string
 
@@ -42,8 +46,11 @@
 	acknowledged  map[string]bool
 	endCounts     map[string]int // acknowledged ends by task, see AcknowledgedEnds
 	machineOrders []string       // see MachineOrders
-	// expectedJobs holds the number of tasks in each step of a submitted job, by job id. It is nil if starts are not checked.
-	expectedJobs map[string][]int
+	// expectedJobs holds the announced jobs by id. It is nil if starts are not checked.
+	expectedJobs        map[string]*submission
+	runRecords          []*runRecord               // in the order of their starts
+	reportedCheckpoints map[string]map[string]bool // by task
+	disturbances        []*disturbance
 	// doneTasks holds the tasks of which a run has completed.
 	doneTasks map[string]bool
 	// doneRuns holds the completed runs of each task by number, and whether the task was started again afterwards.
@@ -82,6 +89,7 @@
 	p := &Platform{
 		workers: map[string]*Worker{}, pools: map[string]string{}, offlineStates: map[string]string{}, runningOn: map[string]string{},
 		startCounts: map[string]int{}, acknowledged: map[string]bool{}, quit: make(chan struct{}), lastOrders: map[string]machineOrder{}, doneTasks: map[string]bool{}, doneRuns: map[string]map[int64]bool{}, endCounts: map[string]int{},
+		reportedCheckpoints: map[string]map[string]bool{},
 	}
 	p.StoreAddress = p.startServer(&p.Store)
 	p.FleetAddress = p.startServer(http.HandlerFunc(p.serveFleet))
@@ -358,7 +366,7 @@
 func (p *Platform) Violations() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]string(nil), p.violations...)
+	return append(p.jobViolations(time.Now()), p.violations...)
 }
 
 // StartCount returns the number of runs of a task that were started.
@@ -370,53 +378,27 @@
 
 // recordStart records the start of a run. It returns the processor capacity that the run uses, in thousandths of a core,
 // its duration and whether it fails.
-func (p *Platform) recordStart(worker *Worker, task, spec string) (cpu int, duration time.Duration, fails bool) {
+func (p *Platform) recordStart(worker *Worker, order orderBody) (cpu int, duration time.Duration, fails bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if other := p.runningOn[task]; other != "" {
-		p.violations = append(p.violations, "two runs of "+task+" at once: "+other+" and "+worker.ID)
+	if other := p.runningOn[order.Task]; other != "" {
+		p.violations = append(p.violations, "two runs of "+order.Task+" at once: "+other+" and "+worker.ID)
 	}
-	if p.acknowledged[task] {
-		p.violations = append(p.violations, "start of "+task+" after its end was acknowledged")
+	if p.acknowledged[order.Task] {
+		p.violations = append(p.violations, "start of "+order.Task+" after its end was acknowledged")
 	}
-	for number := range p.doneRuns[task] {
-		p.doneRuns[task][number] = true
+	for number := range p.doneRuns[order.Task] {
+		p.doneRuns[order.Task][number] = true
 	}
-	p.checkExpected(task)
-	p.runningOn[task] = worker.ID
-	p.startCounts[task]++
-	return parseSpec(spec)
-}
-
-// ExpectJob announces a job that is about to be submitted, with the number of tasks of each step. After the first call,
-// it is a violation to start a task of an unannounced job, or a task before all tasks of the previous step are done.
-func (p *Platform) ExpectJob(job string, counts ...int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.expectedJobs == nil {
-		p.expectedJobs = map[string][]int{}
-	}
-	p.expectedJobs[job] = counts
-}
-
-// checkExpected checks that a task belongs to an announced job and that all tasks of the previous step are done. A task
-// has the form JOB.OCCURRENCE.STEP.INDEX; announced jobs have only occurrence 0. The caller must hold mu.
-func (p *Platform) checkExpected(task string) {
-	if p.expectedJobs == nil {
-		return
-	}
-	var step, index int
-	parts := strings.Split(task, ".")
-	counts, known := p.expectedJobs[parts[0]]
-	if _, err := fmt.Sscanf(strings.Join(parts[1:], " "), "0 %d %d", &step, &index); err != nil || !known || step >= len(counts) || index >= counts[step] {
-		p.violations = append(p.violations, "start of "+task+", which belongs to no announced job")
-		return
-	}
-	for i := 0; step > 0 && i < counts[step-1]; i++ {
-		if earlier := fmt.Sprintf("%s.0.%d.%d", parts[0], step-1, i); !p.doneTasks[earlier] {
-			p.violations = append(p.violations, "start of "+task+" before the end of "+earlier)
-		}
+	p.checkStart(order)
+	p.runningOn[order.Task] = worker.ID
+	p.startCounts[order.Task]++
+	record := &runRecord{task: order.Task, number: order.Run, worker: worker.ID, machine: worker.Machine, startedAt: time.Now(), late: order.late}
+	if p.SenderOf != nil {
+		record.sender = p.SenderOf(order.FencingToken)
 	}
+	p.runRecords = append(p.runRecords, record)
+	return parseSpec(order.Spec)
 }
 
 // RunningTasks returns the running tasks, each with the id of its worker.
@@ -440,6 +422,12 @@
 	if p.runningOn[task] == worker.ID {
 		delete(p.runningOn, task)
 	}
+	for _, r := range slices.Backward(p.runRecords) {
+		if r.task == task && r.worker == worker.ID && r.number == number {
+			r.endedAt, r.outcome = time.Now(), outcome
+			break
+		}
+	}
 }
 
 // recordAcknowledgement records that the end of a run was acknowledged. If its outcome is done, a start of the task after
--- a/standin/fabric/worker.go
+++ b/standin/fabric/worker.go
@@ -47,6 +47,8 @@
 const (
 	// deadlySuffix ends the specification of a job whose tasks crash each worker that starts them.
 	deadlySuffix = " crashes"
+	// checkpointsSuffix ends the specification of a job whose tasks save checkpoints.
+	checkpointsSuffix = " saves"
 	// crashDowntime is how long a worker is down after such a crash.
 	crashDowntime = 200 * time.Millisecond
 )
@@ -56,6 +58,8 @@
 	number int64
 	cpu    int // thousandths of a core
 	timer  *time.Timer
+
+	checkpoints bool // the run saves a checkpoint when it starts
 }
 
 // orderBody is the body of all calls to a worker. Each call uses some of the fields.
@@ -67,6 +71,9 @@
 	FencingToken int64  `json:"fencing_token"`
 	LastSeen     int64  `json:"last_seen"`
 	WaitMS       int64  `json:"wait_ms"`
+
+	LastCheckpoint string `json:"last_checkpoint"`
+	late           bool   // a start that is carried out late
 }
 
 // clockMS returns the time on the clock of the worker, in milliseconds since its start.
@@ -219,6 +226,7 @@
 	w.mu.Lock()
 	if w.delayedStarts > 0 {
 		w.delayedStarts--
+		body.late = true
 		time.AfterFunc(w.startDelay, func() {
 			current := w.currentIncarnation()
 			current.mu.Lock()
@@ -264,11 +272,11 @@
 		return ""
 	}
 	w.leaseEnd = max(w.leaseEnd, body.DeadlineMS)
-	cpu, duration, fails := w.platform.recordStart(w, body.Task, body.Spec)
+	cpu, duration, fails := w.platform.recordStart(w, body)
 	if strings.HasSuffix(body.Spec, deadlySuffix) {
 		go w.platform.CrashWorker(w.Machine, crashDowntime)
 	}
-	started := &run{task: body.Task, number: body.Run, cpu: cpu}
+	started := &run{task: body.Task, number: body.Run, cpu: cpu, checkpoints: strings.HasSuffix(body.Spec, checkpointsSuffix)}
 	w.runs[body.Task] = started
 	if used := w.usedCPU(); used > w.CPU {
 		w.platform.recordViolation("capacity of %s exceeded: %d of %d", w.ID, used, w.CPU)
@@ -313,7 +321,7 @@
 	}
 	w.highestRun[r.task] = max(w.highestRun[r.task], r.number)
 	w.lastEnd++
-	w.unacknowledgedEnds = append(w.unacknowledgedEnds, []any{w.lastEnd, r.task, r.number, outcome, ""})
+	w.unacknowledgedEnds = append(w.unacknowledgedEnds, []any{w.lastEnd, r.task, r.number, outcome, w.platform.reportCheckpoint(r)})
 	w.platform.recordEnd(w, r.task, r.number, outcome)
 	close(w.changed)
 	w.changed = make(chan struct{})
@@ -376,7 +384,7 @@
 	}
 	running := [][]any{} // rows of task, run, checkpoint, speed in percent and measurement
 	for _, active := range w.runs {
-		running = append(running, []any{active.task, active.number, "", 100, 0})
+		running = append(running, []any{active.task, active.number, w.platform.reportCheckpoint(active), 100, 0})
 	}
 	response := map[string]any{"born": w.startedAt.UnixMilli(), "clock_ms": w.clockMS(), "running": running, "ended": w.unacknowledgedEnds}
 	if w.unacknowledgedEnds == nil {
