dispatch: advice follows the queue of a job to another pool

An accepted job never ran until the owner changed: its queue needs advice and was sent to another pool while the job waited.

Cause: the advice of a step kept the pool of its first request. Later requests asked about workers of that pool only, and its tickets for them counted as room.

Evidence: TestAdviceForFormerPool failed, since no worker of the new pool is asked about ("should have 1 item(s), but has 0").

Change: the pool is no longer part of the advice; each use takes the present pool of the job. A ticket names its worker, so tickets of the former pool are kept: runs that are placed there still need them, and the queue may come back. Nothing else that is kept by step names a pool: pending steps are computed anew with each configuration.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -26,10 +26,10 @@
 )
 
 // advice holds the responses of the advice service for one step. The set of workers that may run a step does
-// not change, so the service is not asked again about a worker for which it issued no ticket.
+// not change, so the service is not asked again about a worker for which it issued no ticket. The pool of the step may
+// change, and its tickets for workers of other pools are not used then.
 type advice struct {
 	step string
-	pool pool.Name
 	// requested is set while a request is queued or not answered yet.
 	requested bool
 	tickets   map[worker.ID]ticket
@@ -49,14 +49,14 @@
 func (d *Dispatcher) addTickets(pending *schedule.PendingStep, j *job, step string, now time.Time) {
 	a := d.adviceByStep[step]
 	if a == nil {
-		a = &advice{step: step, pool: j.Pool, tickets: map[worker.ID]ticket{}, askedIncarnations: map[worker.ID]worker.Incarnation{}}
+		a = &advice{step: step, tickets: map[worker.ID]ticket{}, askedIncarnations: map[worker.ID]worker.Incarnation{}}
 		d.adviceByStep[step] = a
 	}
 	pending.Tickets = map[worker.ID]string{}
 	hasCapacity := false
 	for id, t := range a.tickets {
 		s := d.workers[id]
-		if s == nil || s.incarnation != t.incarnation || now.Add(minTicketValidity).After(t.expiresAt) || !d.canTakeTasks(s) {
+		if s == nil || s.registration.Pool != j.Pool || s.incarnation != t.incarnation || now.Add(minTicketValidity).After(t.expiresAt) || !d.canTakeTasks(s) {
 			continue
 		}
 		pending.Tickets[id] = t.text
@@ -65,7 +65,7 @@
 	if hasCapacity || a.requested {
 		return
 	}
-	if ids := d.workersToAsk(a, now); len(ids) > 0 {
+	if ids := d.workersToAsk(a, j.Pool, now); len(ids) > 0 {
 		a.requested = true
 		select {
 		case d.adviceRequests <- adviceRequest{advice: a, workers: ids}:
@@ -75,12 +75,12 @@
 	}
 }
 
-// workersToAsk returns the workers to ask about: first those whose ticket is no longer valid, then those
+// workersToAsk returns the workers of a pool to ask about: first those whose ticket is no longer valid, then those
 // not asked about yet, each group by increasing CPU reservation.
-func (d *Dispatcher) workersToAsk(a *advice, now time.Time) []worker.ID {
+func (d *Dispatcher) workersToAsk(a *advice, name pool.Name, now time.Time) []worker.ID {
 	var list []*workerState
 	for _, s := range d.workers {
-		if s.registration.Pool != a.pool || !d.canTakeTasks(s) {
+		if s.registration.Pool != name || !d.canTakeTasks(s) {
 			continue
 		}
 		t, hasTicket := a.tickets[s.id]
--- /dev/null
+++ b/dispatch/advice_test.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/election"
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/pool"
+	"hibiscuslane.example/hibiscuslane/queue"
+	"hibiscuslane.example/hibiscuslane/task"
+	"hibiscuslane.example/hibiscuslane/timer"
+	"hibiscuslane.example/hibiscuslane/worker"
+)
+
+// newAdvisedOwner returns an owner with a waiting job of testQueue, which needs advice, in the pool "desk". Its advice service
+// handles requests with the given handler.
+func newAdvisedOwner(t *testing.T, clock *timer.Service, handler http.HandlerFunc) (*Dispatcher, *job) {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(server.Close)
+	advisor := &platform.Advisor{Address: instance.Address(strings.TrimPrefix(server.URL, "http://")), HTTP: server.Client()}
+	d := New(t.Context(), election.Gained{Epoch: 1}, Options{Clock: clock, Advisor: advisor})
+	d.SetConfig(advisedConfig(1, "desk"))
+	j := &job{Job: task.New(testJob, string(testQueue), "desk", testSpec, clock.Now())}
+	d.applyQueueConfig(j)
+	d.jobs[j.ID] = j
+	d.insertOpenJob(j)
+	return d, j
+}
+
+func advisedConfig(version queue.Version, name pool.Name) *queue.Config {
+	return queue.New(version, []queue.Queue{{Name: testQueue, Pool: name, NeedsAdvice: true}}, []queue.Pool{{Name: "desk"}, {Name: "till"}})
+}
+
+// addReadyWorker adds a worker that can take tasks and has no connection.
+func addReadyWorker(d *Dispatcher, id worker.ID, name pool.Name) {
+	registration := worker.Registration{ID: id, Pool: name, State: worker.StateReady, Capacity: task.Resources{CPU: 10}}
+	s := &workerState{id: id, registration: registration, runs: map[runID]*run{}, tokenAcknowledged: true}
+	s.lease.RecordClock(1000, d.clock.Now())
+	d.workers[id], d.registrations[id] = s, registration
+}
+
+// TestAdviceForFormerPool guards against a job that never runs because its queue has changed to another pool while the job
+// waited, and only workers of the former one are asked about.
+func TestAdviceForFormerPool(t *testing.T) {
+	clock := &timer.Service{}
+	d, _ := newAdvisedOwner(t, clock, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprint(w, `{"good":[["w1","t1"],["w2","t2"]],"valid_ms":60000}`)
+	})
+	addReadyWorker(d, "w1", "desk")
+	addReadyWorker(d, "w2", "till")
+	advised := func(name pool.Name) map[worker.ID]string {
+		d.pendingSteps(clock.Now())
+		require.Len(t, d.adviceRequests, 1)
+		require.True(t, d.requestAdvice(<-d.adviceRequests))
+		return d.pendingSteps(clock.Now())[name][0].Tickets
+	}
+	require.Equal(t, map[worker.ID]string{"w1": "t1"}, advised("desk"))
+	d.SetConfig(advisedConfig(2, "till"))
+	require.Equal(t, map[worker.ID]string{"w2": "t2"}, advised("till"))
+	d.SetConfig(advisedConfig(3, "desk"))
+	require.Equal(t, map[worker.ID]string{"w1": "t1"}, d.pendingSteps(clock.Now())["desk"][0].Tickets)
+	require.Empty(t, d.adviceRequests, "a ticket stays valid")
+}
