dispatch: advice of finished steps is dropped

The memory of an owner grew with each step that it had asked the advice service about, for its whole term: nothing removed an entry of adviceByStep.

Change: the slow checks drop the advice of steps that are done and of jobs that have ended or were withdrawn. No task of these is started any more; a response that arrives later goes to an advice that nothing refers to. The advice is kept by the key of its step instead of its name, which says whether the step is done.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"sort"
+	"strings"
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/schedule"
+	"hibiscuslane.example/hibiscuslane/task"
 	"hibiscuslane.example/hibiscuslane/worker"
 )
 
@@ -25,11 +27,24 @@
 	maxAdviceRequests = 1024
 )
 
+// stepName returns the name of a step in requests to the advice service, given the key of any of its tasks.
+func stepName(key task.Key) string {
+	name := key.String()
+	return name[:strings.LastIndexByte(name, '.')]
+}
+
+// stepKey returns the key of the first task of the step to which a task belongs.
+func stepKey(key task.Key) task.Key {
+	key.Task = 0
+	return key
+}
+
 // advice holds the responses of the advice service for one step. The set of workers that may run a step does
 // not change, so the service is not asked again about a worker for which it issued no ticket. The pool of the step may
 // change, and its tickets for workers of other pools are not used then.
 type advice struct {
-	step string
+	// step is the key of the first task.
+	step task.Key
 	// requested is set while a request is queued or not answered yet.
 	requested bool
 	tickets   map[worker.ID]ticket
@@ -46,7 +61,8 @@
 
 // addTickets adds the valid tickets of a step to its pending tasks. It requests more if no worker with a
 // ticket has free capacity. If the queue of requests is full, a later cycle tries again.
-func (d *Dispatcher) addTickets(pending *schedule.PendingStep, j *job, step string, now time.Time) {
+func (d *Dispatcher) addTickets(pending *schedule.PendingStep, j *job, now time.Time) {
+	step := task.Key{Job: pending.Job, Occurrence: pending.Occurrence, Step: pending.Step}
 	a := d.adviceByStep[step]
 	if a == nil {
 		a = &advice{step: step, tickets: map[worker.ID]ticket{}, askedIncarnations: map[worker.ID]worker.Incarnation{}}
@@ -129,12 +145,13 @@
 	callCtx, cancel := context.WithTimeout(d.ctx, adviceTimeout)
 	defer cancel()
 	sent := d.clock.Now()
-	tickets, validity, err := d.advisor.Advise(callCtx, request.advice.step, request.workers)
+	step := stepName(request.advice.step)
+	tickets, validity, err := d.advisor.Advise(callCtx, step, request.workers)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	request.advice.requested = false
 	if err != nil {
-		d.log.Info(eventAdviceFailed, "step", request.advice.step, "workers", len(request.workers), "error", err)
+		d.log.Info(eventAdviceFailed, "step", step, "workers", len(request.workers), "error", err)
 		d.requestCycle()
 		return false
 	}
@@ -149,7 +166,7 @@
 			request.advice.tickets[id] = ticket{text: text, incarnation: s.incarnation, expiresAt: sent.Add(validity)}
 		}
 	}
-	d.log.Info(eventAdviceReceived, "step", request.advice.step, "asked", len(request.workers), "good", len(tickets), "valid", validity)
+	d.log.Info(eventAdviceReceived, "step", step, "asked", len(request.workers), "good", len(tickets), "valid", validity)
 	d.requestCycle()
 	return true
 }
@@ -157,9 +174,27 @@
 // ticketForStart returns the ticket for the start order of a run. It is empty if the queue needs none, or if the
 // service issued none for the worker when it was last asked.
 func (d *Dispatcher) ticketForStart(r *run) string {
-	a := d.adviceByStep[stepName(r.id.key)]
+	a := d.adviceByStep[stepKey(r.id.key)]
 	if a == nil {
 		return ""
 	}
 	return a.tickets[r.workerID].text
 }
+
+// dropUnneededAdvice drops the advice of steps of which no task is started any more.
+func (d *Dispatcher) dropUnneededAdvice() {
+	for step := range d.adviceByStep {
+		if !d.isStepOpen(step) {
+			delete(d.adviceByStep, step)
+		}
+	}
+}
+
+// isStepOpen reports whether the job of a step has not ended and a task of the step is not done.
+func (d *Dispatcher) isStepOpen(step task.Key) bool {
+	j := d.jobs[step.Job]
+	if j == nil || j.Outcome != "" || j.Task(step) == nil {
+		return false
+	}
+	return j.Occurrence(step.Occurrence).Steps[step.Step].DoneCount < j.Spec.Steps[step.Step].Count
+}
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -69,3 +70,15 @@
 	require.Equal(t, map[worker.ID]string{"w1": "t1"}, d.pendingSteps(clock.Now())["desk"][0].Tickets)
 	require.Empty(t, d.adviceRequests, "a ticket stays valid")
 }
+
+// TestAdviceOfFinishedSteps guards against an owner whose memory grows with each step that it has asked about in its term.
+func TestAdviceOfFinishedSteps(t *testing.T) {
+	d, j := newAdvisedOwner(t, &timer.Service{}, http.NotFound)
+	d.pendingSteps(d.clock.Now())
+	d.checkTimeouts()
+	require.Len(t, d.adviceByStep, 1)
+	j.FinishTask(task.Key{Job: j.ID}, d.clock.Now())
+	d.slowCheckAt, d.timeoutsCheckedAt = time.Time{}, time.Time{}
+	d.checkTimeouts()
+	require.Empty(t, d.adviceByStep)
+}
--- a/dispatch/checkpoint_test.go
+++ b/dispatch/checkpoint_test.go
@@ -7,21 +7,12 @@
 	"github.com/stretchr/testify/require"
 
 	"hibiscuslane.example/hibiscuslane/election"
-	"hibiscuslane.example/hibiscuslane/pool"
 	"hibiscuslane.example/hibiscuslane/schedule"
 	"hibiscuslane.example/hibiscuslane/task"
 	"hibiscuslane.example/hibiscuslane/timer"
 	"hibiscuslane.example/hibiscuslane/worker"
 )
 
-// addReadyWorker adds a worker that takes tasks.
-func addReadyWorker(d *Dispatcher, id worker.ID, name pool.Name) {
-	registration := worker.Registration{ID: id, Pool: name, State: worker.StateReady}
-	s := &workerState{id: id, registration: registration, runs: map[runID]*run{}, tokenAcknowledged: true}
-	s.lease.RecordClock(1000, d.clock.Now())
-	d.workers[id], d.registrations[id] = s, registration
-}
-
 // TestGangCheckpointsDiffer guards against members of a gang that are started with different checkpoints after a crash, or
 // while another member reports one, and that wait for each other until they end alone.
 func TestGangCheckpointsDiffer(t *testing.T) {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -139,7 +139,7 @@
 	longWaitsLoggedAt time.Time
 	// shortPoolLoggedAt is when each pool was last logged as lacking capacity.
 	shortPoolLoggedAt map[pool.Name]time.Time
-	adviceByStep      map[string]*advice
+	adviceByStep      map[task.Key]*advice
 	carriers          carriers
 	counters          Counters
 	// timeoutsCheckedAt and slowCheckAt are when checkTimeouts last made its checks and the slow ones among them.
@@ -287,7 +287,7 @@
 		store: o.Store, fleet: o.Fleet, advisor: o.Advisor, workerClient: o.Workers, timing: o.Timing, clock: o.Clock, log: o.Log, epoch: gained.Epoch, handedOver: gained.Departure == election.DepartureResigned, partition: gained.Partition, ownership: o.Ownership, inheritedRunTimeout: inheritedRunTimeout,
 		termStart: o.Clock.Now(), ctx: ctx, cycleRequests: make(chan struct{}, 1), restored: make(chan struct{}), config: o.Config,
 		jobs: map[task.JobID]*job{}, workers: map[worker.ID]*workerState{}, registrations: map[worker.ID]worker.Registration{},
-		runs: map[runID]*run{}, arrivals: map[queue.Name]*arrivalStats{}, adviceByStep: map[string]*advice{}, adviceRequests: make(chan adviceRequest, maxAdviceRequests), maintenance: maintenance{refusedPools: map[worker.MachineID]pool.Name{}},
+		runs: map[runID]*run{}, arrivals: map[queue.Name]*arrivalStats{}, adviceByStep: map[task.Key]*advice{}, adviceRequests: make(chan adviceRequest, maxAdviceRequests), maintenance: maintenance{refusedPools: map[worker.MachineID]pool.Name{}},
 	}
 }
 
--- a/dispatch/pending.go
+++ b/dispatch/pending.go
@@ -97,7 +97,7 @@
 		return nil
 	}
 	if j.queue.NeedsAdvice {
-		d.addTickets(pending, j, stepName(task.Key{Job: j.ID, Occurrence: number, Step: step}), now)
+		d.addTickets(pending, j, now)
 	}
 	pending.HasStarted = hasStarted(occurrence)
 	d.setDeadlines(j, number, occurrence, pending)
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"strings"
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/pool"
@@ -115,12 +114,6 @@
 	})
 }
 
-// stepName returns the name of a step in requests to the advice service.
-func stepName(key task.Key) string {
-	name := key.String()
-	return name[:strings.LastIndexByte(name, '.')]
-}
-
 // gangRunNumber returns the run number that all members of a gang share.
 func (d *Dispatcher) gangRunNumber(j *job, key task.Key) task.RunNumber {
 	runNumber := d.firstRunNumber()
@@ -170,6 +163,7 @@
 		d.retryStop(r, now)
 	}
 	maps.DeleteFunc(d.lateStarts, func(_ worker.ID, until time.Time) bool { return now.After(until) })
+	d.dropUnneededAdvice()
 	if d.ledger != nil {
 		d.dropEndedJobs(now)
 	}
