dispatch: requests for advice time out by the timer service

Their timeout ran on the system clock, all others of the owner on the timer service, so that no test or replay with a clock of its own could show a slow advice service.

Evidence: TestAdviceTimeout failed ("the request goes on").

Change: the timeout is one of the timer service.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"context"
 	"sort"
 	"strings"
 	"time"
@@ -142,7 +141,7 @@
 // requestAdvice sends one request and stores the tickets from the response. It reports whether the request
 // succeeded.
 func (d *Dispatcher) requestAdvice(request adviceRequest) bool {
-	callCtx, cancel := context.WithTimeout(d.ctx, adviceTimeout)
+	callCtx, cancel := d.clock.WithTimeout(d.ctx, adviceTimeout)
 	defer cancel()
 	sent := d.clock.Now()
 	step := stepName(request.advice.step)
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -82,3 +82,26 @@
 	d.checkTimeouts()
 	require.Empty(t, d.adviceByStep)
 }
+
+// TestAdviceTimeout guards against a request whose time runs on another clock than that of the owner.
+func TestAdviceTimeout(t *testing.T) {
+	asked, done := make(chan struct{}), make(chan struct{})
+	clock := timer.NewManual(time.Unix(1000, 0))
+	d, _ := newAdvisedOwner(t, &clock.Service, func(http.ResponseWriter, *http.Request) {
+		close(asked)
+		<-done
+	})
+	defer close(done)
+	addReadyWorker(d, "w1", "desk")
+	d.pendingSteps(clock.Now())
+	succeeded := make(chan bool, 1)
+	go func() { succeeded <- d.requestAdvice(<-d.adviceRequests) }()
+	<-asked
+	clock.Advance(adviceTimeout)
+	select {
+	case ok := <-succeeded:
+		require.False(t, ok)
+	case <-time.After(adviceTimeout / 2):
+		require.Fail(t, "the request goes on")
+	}
+}
