dispatch: an entry among the registrations ends no runs before its worker has answered

An entry that names a configured pool and the machine of a worker, with a later start, and that no worker has written, ended the runs of the worker there: its tasks ran twice, and crashes were counted against them. Found by reading; the users' store holds such entries only for pools that are not configured.

Cause: the entry itself was taken for the end of the earlier worker.

Evidence: TestEntryOfUnansweredWorker failed at the registration of the entry ("does not contain dispatch.runID{...}"). TestSilentWorkerReplaced keeps the quick end of runs whose worker does not answer.

Change: runs are given up once the later worker has answered with its incarnation, or the earlier one has failed to answer; the owner calls both at once. Until either is known, the earlier worker takes no new tasks, and it takes tasks again once it answers a call that was sent after the entry came. currentWorkers prefers a worker that answers to a later one that never has. A later entry under the id of the worker itself still counts as its restart, and still settles an order for its machine.

--- a/dispatch/balance.go
+++ b/dispatch/balance.go
@@ -139,7 +139,7 @@
 	workers := map[worker.MachineID]*workerState{}
 	for _, s := range d.workers {
 		other := workers[s.registration.Machine]
-		if _, listed := d.registrations[s.id]; listed && !s.endedByOrder && (other == nil || other.incarnation < s.incarnation) {
+		if _, listed := d.registrations[s.id]; listed && !s.endedByOrder && (other == nil || s.isLaterThan(other)) {
 			workers[s.registration.Machine] = s
 		}
 	}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -82,7 +82,7 @@
 // known, no order for its machine is pending, due or has ended it, and no later worker runs on its machine.
 func (d *Dispatcher) canTakeTasks(s *workerState) bool {
 	registration, listed := d.registrations[s.id]
-	return listed && !s.endedByOrder && !s.replaced && s.closedSince.IsZero() && len(s.orphanedRuns) == 0 && registration.State == worker.StateReady && s.tokenAcknowledged && s.lease.HasClock() && s.unreachableSince.IsZero() && !d.maintenance.hasPendingOrder(registration.Machine)
+	return listed && !s.endedByOrder && s.successor == nil && s.closedSince.IsZero() && len(s.orphanedRuns) == 0 && registration.State == worker.StateReady && s.tokenAcknowledged && s.lease.HasClock() && s.unreachableSince.IsZero() && !d.maintenance.hasPendingOrder(registration.Machine)
 }
 
 // assignTask stores the placement of a task and starts the run once it is stored.
--- a/dispatch/registration.go
+++ b/dispatch/registration.go
@@ -125,10 +125,10 @@
 	d.registrations[id] = registration
 	s := d.workers[id]
 	if s == nil {
-		d.endEarlierIncarnations(registration)
+		s = d.addWorker(registration)
+		d.endEarlierIncarnations(s)
 		d.maintenance.clearOrderOnReturn(registration.Machine, registration.Incarnation, registration.Pool)
 		d.log.Info(eventWorkerRegistered, "worker", id, "pool", registration.Pool, "machine", registration.Machine, "state", registration.State, "offset", record.Offset)
-		d.addWorker(registration)
 		d.requestCycle()
 		return
 	}
@@ -188,3 +188,63 @@
 		d.applyRegistration(r)
 	}
 }
+
+// endEarlierIncarnations ends earlier workers on the machine of a worker, and their runs. Until the worker has answered, its
+// registration may come from another program: then only runs on workers that do not answer either are ended, and none before
+// the pools are known.
+func (d *Dispatcher) endEarlierIncarnations(s *workerState) {
+	machine := s.registration.Machine
+	if machine == "" || s.incarnation == 0 || d.config == nil && !s.hasAnswered {
+		return
+	}
+	now := d.clock.Now()
+	ended := d.takeLostRuns(machine, s.incarnation)
+	leaving := false
+	for _, r := range d.runsOfMachine(machine) {
+		if r.endsWithStartOf(s) {
+			ended = append(ended, r)
+			leaving = leaving || r.worker != nil && r.worker.isLeaving()
+		}
+	}
+	if !leaving {
+		d.recordCrash(machine, ended, now)
+	}
+	d.setSuccessor(s, now)
+	for _, r := range ended {
+		d.endLostRun(r, worker.CauseLeaseExpired, now)
+	}
+}
+
+// setSuccessor records a worker as the successor of the earlier ones on its machine.
+func (d *Dispatcher) setSuccessor(s *workerState, now time.Time) {
+	for _, earlier := range d.workers {
+		if earlier.registration.Machine == s.registration.Machine && earlier.id != s.id && earlier.incarnation < s.incarnation {
+			earlier.successor, earlier.successorSince = s, now
+		}
+	}
+}
+
+// keepBesideSuccessor forgets the successor of a worker that answers a call which was sent after the successor had
+// registered, unless that has answered too.
+func (s *workerState) keepBesideSuccessor(sent time.Time) {
+	if s.successor != nil && !s.successor.hasAnswered && !sent.Before(s.successorSince) {
+		s.successor = nil
+	}
+}
+
+// endsWithStartOf reports whether a run has ended because a later worker has started on its machine.
+func (r *run) endsWithStartOf(s *workerState) bool {
+	if r.workerID == s.id || r.incarnation >= s.incarnation {
+		return false
+	}
+	return s.hasAnswered || r.worker != nil && !r.worker.unreachableSince.IsZero()
+}
+
+// isLaterThan reports whether a worker is the later one of two on a machine. One that answers is not replaced by one that
+// has not answered.
+func (s *workerState) isLaterThan(other *workerState) bool {
+	if s.incarnation < other.incarnation {
+		return !other.isLaterThan(s)
+	}
+	return s.incarnation > other.incarnation && (s.hasAnswered || !other.hasAnswered || !other.unreachableSince.IsZero())
+}
--- a/dispatch/registration_test.go
+++ b/dispatch/registration_test.go
@@ -58,6 +58,48 @@
 	require.Contains(t, d.workers, worker.ID("agent"), "a pool that is configured later has workers at once")
 }
 
+// TestEntryOfUnansweredWorker guards against an entry that names a configured pool and the machine of a worker, with a later
+// start, and was not written by a worker: the tasks that run there would run twice.
+func TestEntryOfUnansweredWorker(t *testing.T) {
+	d := newIdleDispatcher(t, queue.New(1, nil, []queue.Pool{{Name: "desk"}}))
+	d.applyRegistration(entryRecord("w", "desk", 1000))
+	s := d.workers["w"]
+	r := addRun(d, s, d.firstRunNumber(), phaseRunning)
+	d.applyRegistration(entryRecord("claimed", "desk", 2000))
+	now := d.clock.Now()
+	require.Contains(t, d.runs, r.id, "the owner has not asked the worker yet")
+	d.applyReport(s, reportOf(1000, r), now, now)
+	claimed := d.workers["claimed"]
+	d.recordFailedRenewal(claimed, context.DeadlineExceeded, now)
+	d.applyReport(claimed, worker.Report{}, now, now)
+	require.Contains(t, d.runs, r.id)
+	require.True(t, d.canTakeTasks(s))
+	require.Same(t, s, d.currentWorkers()["m"])
+	d.applyReport(claimed, reportOf(2000), now, now)
+	require.NotContains(t, d.runs, r.id)
+	require.False(t, d.canTakeTasks(s))
+	require.Same(t, claimed, d.currentWorkers()["m"])
+}
+
+// TestSilentWorkerReplaced guards against runs that are kept on a worker that no longer answers and whose machine has a later
+// one, which does not answer either.
+func TestSilentWorkerReplaced(t *testing.T) {
+	for _, silentFirst := range []bool{true, false} {
+		d := newIdleDispatcher(t, queue.New(1, nil, []queue.Pool{{Name: "desk"}}))
+		d.applyRegistration(entryRecord("w", "desk", 1000))
+		r := addRun(d, d.workers["w"], d.firstRunNumber(), phaseRunning)
+		if silentFirst {
+			d.recordFailedRenewal(r.worker, context.DeadlineExceeded, d.clock.Now())
+		}
+		d.applyRegistration(entryRecord("later", "desk", 2000))
+		if !silentFirst {
+			d.recordFailedRenewal(r.worker, context.DeadlineExceeded, d.clock.Now())
+		}
+		require.NotContains(t, d.runs, r.id)
+		require.Same(t, d.workers["later"], d.currentWorkers()["m"])
+	}
+}
+
 // TestForeignEntryBeforeConfig guards against the same for an owner that does not know the configuration yet.
 func TestForeignEntryBeforeConfig(t *testing.T) {
 	d := newIdleDispatcher(t, nil)
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -108,9 +108,12 @@
 	cancel context.CancelFunc
 	// endedByOrder is set once a machine order (move or maintenance) has ended the worker's incarnation.
 	endedByOrder bool
-	// replaced is set once a later worker has registered on the machine. The registration of this one may last for some
-	// more seconds.
-	replaced bool
+	// successor is a later worker that has registered on the machine since successorSince; nil if none has, or if this one
+	// answers and that one does not. The registration of this one may last for some more seconds.
+	successor      *workerState
+	successorSince time.Time
+	// hasAnswered is set once a report has named the incarnation. Until then, its registration is a claim of its writer.
+	hasAnswered bool
 	// idleSince is when the last run ended or, if there was none, when the worker was added.
 	idleSince time.Time
 	// drainingForMaintenance is set while the machine is drained for maintenance.
@@ -435,6 +438,9 @@
 	if s.unreachableSince.IsZero() {
 		s.unreachableSince = now
 		d.log.Info(eventWorkerUnreachable, "worker", s.id, "error", err)
+		if s.successor != nil {
+			d.endEarlierIncarnations(s.successor)
+		}
 	}
 	if refused && refusal == worker.RefusedWrongIncarnation {
 		d.endIncarnation(s, now)
@@ -451,6 +457,11 @@
 		}
 		s.incarnation, s.incarnationKnownAt = report.Incarnation, now
 	}
+	if report.Incarnation != 0 && !s.hasAnswered {
+		s.hasAnswered = true
+		d.endEarlierIncarnations(s)
+	}
+	s.keepBesideSuccessor(sent)
 	s.lease.RecordClock(report.Clock, now)
 	firstReport := !s.tokenAcknowledged
 	s.tokenAcknowledged = true
@@ -525,7 +536,7 @@
 		d.recordRestartCrash(s, append(lost, ended...), uncertain, now)
 	}
 	s.incarnation, s.incarnationKnownAt = incarnation, now
-	s.tokenAcknowledged, s.runsListedAt = false, time.Time{}
+	s.tokenAcknowledged, s.hasAnswered, s.runsListedAt = false, false, time.Time{}
 	s.lease = worker.Lease{}
 	if len(uncertain) > 0 {
 		// Deadlines of the earlier incarnation's clock may exceed the longest lease on the new one's.
@@ -573,31 +584,3 @@
 	}
 	return runs
 }
-
-// endEarlierIncarnations ends earlier workers on the machine of a newly registered worker, and their runs. It does nothing
-// before the pools are known, because the entry may then come from another program.
-func (d *Dispatcher) endEarlierIncarnations(registration worker.Registration) {
-	if registration.Machine == "" || registration.Incarnation == 0 || d.config == nil {
-		return
-	}
-	now := d.clock.Now()
-	ended := d.takeLostRuns(registration.Machine, registration.Incarnation)
-	leaving := false
-	for _, r := range d.runsOfMachine(registration.Machine) {
-		if r.workerID != registration.ID && r.incarnation < registration.Incarnation {
-			ended = append(ended, r)
-			leaving = leaving || r.worker != nil && r.worker.isLeaving()
-		}
-	}
-	if !leaving {
-		d.recordCrash(registration.Machine, ended, now)
-	}
-	for _, s := range d.workers {
-		if s.registration.Machine == registration.Machine && s.id != registration.ID && s.incarnation < registration.Incarnation {
-			s.replaced = true
-		}
-	}
-	for _, r := range ended {
-		d.endLostRun(r, worker.CauseLeaseExpired, now)
-	}
-}
