ledger: a withdrawn write has one outcome

A write that was withdrawn from a batch got a second outcome if the batch failed later: the job of its caller was refused as not stored, then reported as possibly stored.

Cause: appendBatch removed the withdrawn writes from its own list only, and Run failed the whole batch that it had taken.

Evidence: TestWithdrawnTwice failed ("Should be empty, but was ..."). From reading: the owner waits with its lock held for a caller that has gone and takes no second result, so that its term does not end.

Change: appendBatch returns the writes that have no outcome yet, and Run fails these.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -218,8 +218,8 @@
 			if len(batch) == 0 {
 				break
 			}
-			if err := l.appendBatch(ctx, batch); err != nil {
-				return l.failAll(batch, err)
+			if unconfirmed, err := l.appendBatch(ctx, batch); err != nil {
+				return l.failAll(unconfirmed, err)
 			}
 		}
 	}
@@ -244,12 +244,12 @@
 
 // appendBatch stores a batch. It retries until the batch is stored, a later writer has fenced this one, a move has
 // an unknown result or ctx ends. While the store does not confirm the batch, it moves the ledger and withdraws optional
-// writes.
-func (l *Ledger) appendBatch(ctx context.Context, batch []write) error {
+// writes. With an error, it returns the writes that have no outcome yet.
+func (l *Ledger) appendBatch(ctx context.Context, batch []write) ([]write, error) {
 	records := recordsOf(batch)
 	if len(records) == 0 {
 		l.confirmBatch(batch)
-		return nil
+		return nil, nil
 	}
 	l.sequence++
 	certainlyNotStored := true // no attempt of this batch can have been stored
@@ -268,13 +268,13 @@
 			continue
 		}
 		if platform.IsFenced(err) || ctx.Err() != nil {
-			return err
+			return batch, err
 		}
 		l.log.Warn(eventAppendRetried, "try", attempt, "records", len(records), "error", err)
 		if l.StalledFor() > moveAfter {
 			moved, err := l.tryMove(ctx)
 			if err != nil {
-				return err
+				return batch, err
 			}
 			if moved {
 				l.sequence++
@@ -289,11 +289,11 @@
 			}
 		}
 		if err := l.clock.Sleep(ctx, retryDelay); err != nil {
-			return err
+			return batch, err
 		}
 	}
 	l.confirmBatch(batch)
-	return nil
+	return nil, nil
 }
 
 func recordsOf(batch []write) []platform.Record {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -155,6 +155,21 @@
 	})
 }
 
+// TestWithdrawnTwice guards against a second outcome of a write that was withdrawn from a batch which fails later. The owner
+// has dropped the job by then, and would wait without end for a caller that takes no second result.
+func TestWithdrawnTwice(t *testing.T) {
+	s := &store{up: true}
+	l, ended := openAndRun(t, s)
+	s.update(func(s *store) { s.up = false })
+	outcomes := make(chan error, 2)
+	l.TryWrite([]platform.Record{{Key: "a", Value: []byte("1")}}, func(err error) { outcomes <- err })
+	require.True(t, ledger.IsNotStored(<-outcomes))
+	s.update(func(s *store) { s.up, s.fenced = true, true })
+	l.Write([]platform.Record{{Key: "b", Value: []byte("1")}}, nil)
+	require.True(t, platform.IsFenced(<-ended))
+	require.Empty(t, outcomes)
+}
+
 // partitionOwner is the owner of a ledger that can move.
 type partitionOwner struct {
 	mu        sync.Mutex
