ledger: Flush ends when a batch has failed

A process whose ledger had been taken over, and that was told to stop, waited until the time for its shutdown was over: Drain waits for the writes of the ledger.

Cause: after a sent batch had failed, stalledSince stayed set, and Flush took this for an append without an outcome.

Evidence: TestFlushAfterFailure failed ("context deadline exceeded").

Change: failing all writes clears stalledSince. New jobs are refused nevertheless, since each later write fails at once.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -354,7 +354,7 @@
 func (l *Ledger) failAll(batch []write, err error) error {
 	l.mu.Lock()
 	unfinished := append(batch, l.pending...)
-	l.pending = nil
+	l.pending, l.stalledSince = nil, time.Time{}
 	l.closedErr = err
 	l.mu.Unlock()
 	for i, w := range unfinished {
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -170,6 +170,20 @@
 	require.Empty(t, outcomes)
 }
 
+// TestFlushAfterFailure guards against a process that waits for the outcome of writes although the ledger has failed them.
+func TestFlushAfterFailure(t *testing.T) {
+	s := &store{up: true}
+	l, ended := openAndRun(t, s)
+	s.update(func(s *store) { s.fenced = true })
+	l.Write([]platform.Record{{Key: "a", Value: []byte("1")}}, nil)
+	require.True(t, platform.IsFenced(<-ended))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	l.Flush(ctx)
+	require.NoError(t, ctx.Err())
+	require.Zero(t, l.StalledFor())
+}
+
 // partitionOwner is the owner of a ledger that can move.
 type partitionOwner struct {
 	mu        sync.Mutex
