ledger: TryWrite takes no callback, as Write does

A write without a callback that was withdrawn would have ended the process. No caller makes one at present; Write allows it, and nothing kept them apart but a comment.

Evidence: TestWithdrawWithoutCallback ended with "invalid memory address or nil pointer dereference" in withdrawOptional.

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -138,8 +138,7 @@
 }
 
 // TryWrite is a Write that is withdrawn if the store confirms no append for withdrawAfter and the write is
-// certainly not stored. In that case callback, which must not be nil, is called with an error for which IsNotStored
-// holds.
+// certainly not stored. In that case callback is called with an error for which IsNotStored holds.
 func (l *Ledger) TryWrite(records []platform.Record, callback Callback) {
 	l.enqueue(write{records: records, callback: callback, optional: true})
 }
@@ -333,7 +332,9 @@
 			required = append(required, w)
 			continue
 		}
-		w.callback(&NotStoredError{Cause: cause})
+		if w.callback != nil {
+			w.callback(&NotStoredError{Cause: cause})
+		}
 	}
 	return required
 }
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -170,6 +170,15 @@
 	require.Empty(t, outcomes)
 }
 
+// TestWithdrawWithoutCallback guards against a panic of the owner when a write is withdrawn that nobody waits for.
+func TestWithdrawWithoutCallback(t *testing.T) {
+	s := &store{up: true}
+	l, _ := openAndRun(t, s)
+	s.update(func(s *store) { s.up = false })
+	l.TryWrite([]platform.Record{{Key: "a", Value: []byte("1")}}, nil)
+	require.True(t, ledger.IsNotStored(writeAndWait(t, l, true, platform.Record{Key: "b", Value: []byte("1")})))
+}
+
 // TestFlushAfterFailure guards against a process that waits for the outcome of writes although the ledger has failed them.
 func TestFlushAfterFailure(t *testing.T) {
 	s := &store{up: true}
