entry, member: leases of a stopping entry last while its requests run

Targets got more requests than they have slots while an entry shut down: the owner of the pool granted the slots of its running requests to others, and dropped its waiting ones.

Cause: an entry that is not live counted as gone. A stopping one is not live, so that it proposes and owns nothing, but its requests go on until they have ended or the time for its shutdown is over.

Evidence: TestStoppingEntryGone failed ("Should be false").

Change: an entry is gone once it is silent or no longer listed. A stopping one reports until its servers are closed.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -9,7 +9,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -196,7 +195,7 @@
 	capacity := poolCapacity{table: e.table, settings: e.siteSettings}
 	e.slotServer = &slot.Server{
 		Self: e.self.Entry, Incarnation: e.self.Incarnation, Capacity: capacity, Timer: e.timer, Events: e.events,
-		IsEntryGone: e.isEntryUnavailable,
+		IsEntryGone: e.group.IsSilent,
 	}
 	e.slotClient = &slot.Client{
 		Self: e.self.Entry, Incarnation: e.self.Incarnation, Local: e.slotServer, Ranking: e.group,
@@ -216,11 +215,6 @@
 	})
 }
 
-// isEntryUnavailable reports whether an entry is not live, that is, has been silent for too long or is stopping.
-func (e *Entry) isEntryUnavailable(id instance.ID) bool {
-	return !slices.Contains(e.group.LiveEntries(), id)
-}
-
 // siteSettings returns the configuration in force at the site of this entry, or nil if there is none.
 func (e *Entry) siteSettings() *config.Settings {
 	s, ok := e.config.Settings(site.Name(e.settings.Centre))
--- a/entry/leaving_test.go
+++ b/entry/leaving_test.go
@@ -8,11 +8,29 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hibiscuslane.example/hibiscuslane/instance"
+	"hibiscuslane.example/hibiscuslane/member"
+	"hibiscuslane.example/hibiscuslane/peer"
 	standin "hibiscuslane.example/hibiscuslane/standin/platform"
 	"hibiscuslane.example/hibiscuslane/standin/target"
+	"hibiscuslane.example/hibiscuslane/timer"
 	"hibiscuslane.example/hibiscuslane/upstream"
 )
 
+// TestStoppingEntryGone guards against leases of an entry that end while its requests still run, because it is shutting down:
+// their targets get more requests than they have slots.
+func TestStoppingEntryGone(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1_000_000, 0))
+	e := &Entry{timer: &clock.Service, group: &member.Group{Self: "1", Clients: &peer.Clients{}, Timer: &clock.Service}}
+	e.group.SetList([]upstream.Instance{{ID: "1", Kind: instance.KindEntry}, {ID: "2", Kind: instance.KindEntry}})
+	e.createReplicas()
+	e.createRequestHandler()
+	e.group.RecordStatus(&peer.Status{Entry: "2", Incarnation: 1, Stopping: true})
+	require.False(t, e.slotServer.IsEntryGone("2"))
+	clock.Advance(maxLeavingDelay)
+	require.True(t, e.slotServer.IsEntryGone("2"), "it is silent")
+}
+
 // maxLeavingDelay is the time after which a leaving target must receive no new work.
 const maxLeavingDelay = 3 * time.Second
 
--- a/member/member.go
+++ b/member/member.go
@@ -268,7 +268,20 @@
 }
 
 func (g *Group) isLiveLocked(state *peerState) bool {
-	return !state.lastReportAt.IsZero() && g.Timer.Since(state.lastReportAt) < liveTimeout && !state.status.GetStopping()
+	return !g.isSilentLocked(state) && !state.status.GetStopping()
+}
+
+func (g *Group) isSilentLocked(state *peerState) bool {
+	return state.lastReportAt.IsZero() || g.Timer.Since(state.lastReportAt) >= liveTimeout
+}
+
+// IsSilent reports whether a peer is not listed or has not reported for liveTimeout. A peer that is stopping is not live,
+// but reports until its requests have ended.
+func (g *Group) IsSilent(id instance.ID) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state := g.peers[id]
+	return state == nil || g.isSilentLocked(state)
 }
 
 // LiveEntries returns the live entries in ascending order, including this entry.
