member: a report with the own id forgets no unlisted peer

An entry that had just started was learned up to 13 s late (15 s between two reads of the list instead of 2 s), if a status with the id of the receiver came after its report, for example from a former process of the same entry.

Cause: RecordStatus set hasUnlistedPeer by each status of an unlisted entry, also by one with the own id, which clears it.

Evidence: TestUnlistedPeerForgotten failed ("Should be true").

--- a/member/member.go
+++ b/member/member.go
@@ -240,7 +240,7 @@
 	state := g.peers[instance.ID(status.GetEntry())]
 	if state == nil {
 		// The address of an unlisted peer is unknown until the list is read again.
-		g.hasUnlistedPeer = status.GetEntry() != string(g.Self)
+		g.hasUnlistedPeer = g.hasUnlistedPeer || status.GetEntry() != string(g.Self)
 		return
 	}
 	if state.status != nil && status.GetIncarnation() < state.status.GetIncarnation() {
