process: an entry outlasts a shortage of descriptors when a peer connects

The server for peers gave up at the first connection that it could not accept for want of a descriptor or of memory, and the process ended; an owner so in the middle of its work. fasthttp repeats only after a timeout; the servers of net/http, which serve callers, wait by themselves. Open files are most in a burst, when an owner has up to eight connections to each worker.

Before: TestDescriptorShortageEndsEntry, "accept tcp: accept4: too many open files" as the result of Serve, after "Permanent error when accepting new connections". After: a peer that connects after two such errors is served.

The listener of that server now logs the shortage (peer.unaccepted) and tries again every 100 ms. Any other error ends the server as before.

--- a/process/peerserver.go
+++ b/process/peerserver.go
@@ -2,8 +2,12 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"runtime/debug"
 	"strings"
+	"syscall"
+	"time"
 
 	"github.com/valyala/fasthttp"
 	"google.golang.org/protobuf/proto"
@@ -24,18 +28,61 @@
 // maxPeerRequestBytes limits a request of a peer. It is far more than a configuration lets callers send.
 const maxPeerRequestBytes = 32 << 20
 
+// acceptRetryDelay is the pause after a connection could not be accepted.
+const acceptRetryDelay = 100 * time.Millisecond
+
 // newPeerServer returns the server for peers. An owner gets most of the callers' requests through it, and the server of
 // net/http takes several times the processor time of this one.
-func (p *Process) newPeerServer() *fasthttp.Server {
+func (p *Process) newPeerServer() peerServer {
 	carriers := &carrier.Server{Client: p.workers, Clock: p.clock, Log: p.log}
-	return &fasthttp.Server{
+	return peerServer{process: p, http: &fasthttp.Server{
 		Handler:               func(ctx *fasthttp.RequestCtx) { p.servePeer(ctx, carriers) },
 		ReadTimeout:           headerTimeout,
 		IdleTimeout:           idleTimeout,
 		MaxRequestBodySize:    maxPeerRequestBytes,
 		NoDefaultServerHeader: true,
 		KeepHijackedConns:     true, // a carrier.Server closes the connections of its sessions
+	}}
+}
+
+// peerServer serves peers.
+type peerServer struct {
+	process *Process
+	http    *fasthttp.Server
+}
+
+// Serve implements server.
+func (s peerServer) Serve(listener net.Listener) error {
+	return s.http.Serve(retryListener{Listener: listener, process: s.process})
+}
+
+// retryListener accepts again after a shortage of descriptors or memory. The server of net/http does so by itself; that of
+// fasthttp gives up, and the process would end.
+type retryListener struct {
+	net.Listener
+	process *Process
+}
+
+// Accept implements net.Listener.
+func (l retryListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if !isShortage(err) {
+			return conn, err
+		}
+		l.process.log.Warn(eventPeerNotAccepted, "error", err)
+		_ = l.process.clock.Sleep(context.Background(), acceptRetryDelay) // the background context never ends
+	}
+}
+
+// isShortage reports whether an error shows that the process or the machine has no descriptor or memory left.
+func isShortage(err error) bool {
+	for _, shortage := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM} {
+		if errors.Is(err, shortage) {
+			return true
+		}
 	}
+	return false
 }
 
 // servePeer serves one request of a peer. It answers with an error if serving it panics, as the server of net/http does.
--- /dev/null
+++ b/process/peerserver_test.go
@@ -0,0 +1,57 @@
+package process
+
+import (
+	"context"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"hibiscuslane.example/hibiscuslane/event"
+	"hibiscuslane.example/hibiscuslane/platform"
+	"hibiscuslane.example/hibiscuslane/relay"
+	"hibiscuslane.example/hibiscuslane/settings"
+	"hibiscuslane.example/hibiscuslane/timer"
+)
+
+// shortListener lacks a descriptor for the first connections, as a process with too many open files does.
+type shortListener struct {
+	net.Listener
+	shortages atomic.Int32
+}
+
+func (l *shortListener) Accept() (net.Conn, error) {
+	if l.shortages.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestDescriptorShortageEndsEntry guards against an entry that ends, or serves no more peers, because it had no descriptor left
+// for a connection of a peer. The servers of net/http wait until there is one.
+func TestDescriptorShortageEndsEntry(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	short := &shortListener{Listener: listener}
+	short.shortages.Store(2)
+	served := make(chan error, 1)
+	server := New(settings.Deployment{ID: "entry-1", Cores: 1}, &timer.Service{}, event.Log{}).newPeerServer()
+	go func() { served <- server.Serve(short) }()
+	client := relay.NewRelayProtobufClient("http://"+listener.Addr().String(), platform.NewHTTPClient(peerIdleConns))
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	_, err = client.Beat(ctx, &relay.Sign{})
+	select {
+	case failure := <-served:
+		require.NoError(t, failure)
+	default:
+		require.NoError(t, err)
+	}
+	cancel()
+	require.NoError(t, <-served, "it ends with its listener")
+}
