dispatch: starts without an answer are expected for 15 s

The platform carries out calls without an answer seconds later. A later start on a restarted worker without runs would not be noticed before its lease ends.

--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -8,7 +8,7 @@
 
 // lateStartTime is how long after a start was not answered it may still take effect. The deadline in the order limits that
 // only on the incarnation for which it was meant.
-const lateStartTime = 10 * time.Second
+const lateStartTime = 15 * time.Second
 
 // watchForLateStart makes the owner ask a worker for its runs, also if it has none, as long as a start may take effect
 // there. After a restart the worker has forgotten the stop of the run.
