slot: a repeated ticket ends the call that it replaces

An entry that repeated the request for a slot left the first call to the owner of the pool blocked for good, and once the context of the first call ended, the owner withdrew the second ticket.

Cause: Owner.Acquire dropped a queued request with the same id without a result, and the end of a context withdraws by id, whichever call the id belongs to by then.

Evidence: TestRepeatedTicket failed ("the first call does not return"); with the first half of the change alone, "Should be empty": the second ticket is withdrawn.

Change: the replaced request gets the error of a withdrawn one, and the end of a context withdraws only if its call has no result yet; results are delivered under the lock of the owner. A call whose pool was removed meanwhile returns too; from reading, no test.

--- a/slot/client_test.go
+++ b/slot/client_test.go
@@ -141,3 +141,42 @@
 	var unavailable *PoolUnavailableError
 	require.ErrorAs(t, err, &unavailable)
 }
+
+// TestRepeatedTicket guards against a call that never returns because a repeated ticket has taken its place in the queue, and
+// against a repeated ticket that is withdrawn because the context of the first call ends.
+func TestRepeatedTicket(t *testing.T) {
+	c := startCluster(t, fixedCapacity{targets: []instance.ID{"t1"}, maxQueued: 10}, "1")
+	var last Grant
+	for range slotCount {
+		grant, err := c.clients["1"].Acquire(t.Context(), ticket(time.Minute))
+		require.NoError(t, err)
+		last = grant
+	}
+	owners := c.clients["1"].Local
+	for range 20 { // the end of the context and the repetition race
+		id := TicketID{Entry: "2", Incarnation: 1, Number: 1}
+		ctx, cancel := context.WithCancel(t.Context())
+		first := make(chan error, 1)
+		go func() {
+			_, err := owners.Acquire(ctx, &peer.Ticket{Entry: "2", Incarnation: 1, Number: 1, Pool: string(testPool), Team: "a", Left: time.Minute.Microseconds()})
+			first <- err
+		}()
+		require.Eventually(t, func() bool { return owners.Usage()[0].Waiting == 1 }, 5*time.Second, time.Millisecond)
+		go cancel()
+		second := owners.enqueue(id, ticket(time.Minute))
+		select {
+		case err := <-first:
+			require.Error(t, err)
+		case <-time.After(5 * time.Second):
+			require.Fail(t, "the first call does not return")
+		}
+		require.Empty(t, second)
+		c.clients["1"].Release(last, ResultUnused)
+		last = (<-second).grant
+		require.NotEmpty(t, last.LeaseID)
+		owners.applyReturns(testPool, "2", 1, []*peer.Return{{Lease: string(last.LeaseID), Result: string(ResultUnused)}})
+		var err error
+		last, err = c.clients["1"].Acquire(t.Context(), ticket(time.Minute))
+		require.NoError(t, err)
+	}
+}
--- a/slot/owner.go
+++ b/slot/owner.go
@@ -70,8 +70,7 @@
 	Ticket Ticket
 	// Weight is the weight of the team in fair queueing.
 	Weight int
-	// Deliver is called once, with the grant or an error. It is not called if a repeated request with the
-	// same ID replaces this one in the queue. It must not block.
+	// Deliver is called once, with the grant or an error. It must not block.
 	Deliver func(Grant, error)
 }
 
@@ -102,10 +101,9 @@
 	o.assignFreeSlots(now)
 }
 
-// Acquire grants a slot, queues the request, or refuses it. A queued request with the same id is removed
-// first, without a call of its Deliver.
+// Acquire grants a slot, queues the request, or refuses it. A queued request with the same id is withdrawn first.
 func (o *Owner) Acquire(now time.Time, r AcquireRequest) {
-	o.queue.remove(r.ID)
+	o.Withdraw(r.ID)
 	if err := o.checkAdmission(now, r); err != nil {
 		r.Deliver(Grant{}, err)
 		return
--- a/slot/queue.go
+++ b/slot/queue.go
@@ -27,8 +27,7 @@
 	waitingSince time.Time
 	avoidTargets []instance.ID
 	// deliver receives the grant, or the error if there is none. It is called at most once: never if
-	// Client.cancelRequest has removed the request or Owner.Acquire has dropped it for a repeated request
-	// with the same id. It must not block, because it may be called under the lock of the owner.
+	// Client.cancelRequest has removed the request. It must not block, because it may be called under the lock of the owner.
 	deliver func(Grant, error)
 	// heapIndex is the position in the heap of the team; -1 after removal.
 	heapIndex int
--- a/slot/server.go
+++ b/slot/server.go
@@ -180,9 +180,15 @@
 	case res := <-result:
 		return s.encodeResult(res)
 	case <-ctx.Done():
-		_ = s.withOwner(ticket.Pool, func(_ time.Time, owner *Owner) { owner.Withdraw(id) })
-		// The channel now holds either the withdrawal or a result that came before it, unless a repeated
-		// ticket with the same id has replaced this one.
+		err := s.withOwner(ticket.Pool, func(_ time.Time, owner *Owner) {
+			if len(result) == 0 { // otherwise the id may be that of a repeated ticket
+				owner.Withdraw(id)
+			}
+		})
+		if err != nil {
+			return nil, ctx.Err() // the pool was removed, and its queue is not served any more
+		}
+		// The channel now holds either the withdrawal or a result that came before it.
 		if res := <-result; res.err == nil {
 			s.applyReturns(ticket.Pool, id.Entry, id.Incarnation, []*peer.Return{{Lease: string(res.grant.LeaseID), Result: string(ResultUnused)}})
 		}
