slot: idle targets take turns

With an even number of idle targets, half of them got no requests: 24 in turn went 24:0 to two targets.

Cause: the offset at which the search for a target starts advanced with each search, and each grant takes at least two.

Evidence: TestIdleTargetsShareRequests failed ("expected: 12, actual: 0; 2 targets: map[b:24]").

Change: the offset advances with each grant.

--- a/slot/owner.go
+++ b/slot/owner.go
@@ -37,8 +37,7 @@
 	// meanHoldSeconds is the moving average of the time that a lease is held; 0 before the first
 	// sample.
 	meanHoldSeconds float64
-	// rotation is the offset at which pickTarget starts, meant to let equally loaded targets take turns. It
-	// advances with each call, at least twice per grant, so an even number of idle targets take unequal
+	// rotation is the offset at which pickTarget starts. It advances with each grant, so that equally loaded targets take
 	// turns.
 	rotation int
 }
@@ -290,6 +289,7 @@
 
 func (o *Owner) grantSlot(now time.Time, target *targetLoad, holder instance.ID) Grant {
 	o.leaseCount++
+	o.rotation++
 	id := LeaseID(o.leasePrefix() + strconv.FormatUint(o.leaseCount, 36))
 	o.leases[id] = &lease{target: target, holder: holder, grantedAt: now}
 	target.leased++
@@ -309,7 +309,6 @@
 			best = t
 		}
 	}
-	o.rotation++
 	return best
 }
 
--- a/slot/owner_test.go
+++ b/slot/owner_test.go
@@ -62,6 +62,24 @@
 	require.Equal(t, []team.Name{"first", "heavy", "light", "light", "heavy", "light", "heavy", "heavy", "heavy", "heavy"}, h.grantedTeams)
 }
 
+// TestIdleTargetsShareRequests guards against idle targets that get no requests while others get all of them.
+func TestIdleTargetsShareRequests(t *testing.T) {
+	const rounds = 12
+	for _, targets := range [][]instance.ID{{"a", "b"}, {"a", "b", "c"}, {"a", "b", "c", "d"}} {
+		h := newOwnerHarness(100, targets...)
+		count := map[instance.ID]int{}
+		for range rounds * len(targets) {
+			h.acquire("1", "x", 1, time.Hour)
+			grant := h.grants[len(h.grants)-1]
+			count[grant.Target]++
+			h.owner.Release(h.now, grant.LeaseID, ResultCompleted)
+		}
+		for _, id := range targets {
+			require.Equal(t, rounds, count[id], "%d targets: %v", len(targets), count)
+		}
+	}
+}
+
 // TestRefusedAtOnce guards against queueing requests that cannot be served in time: the queue is full,
 // the deadline is too close, or the pool has no targets. The refusal has outcome notrun and a retry hint.
 func TestRefusedAtOnce(t *testing.T) {
