slot: TestQueueOrder checks the order by deadline

Its comparison of ticket numbers held whatever was granted: with the order by deadline reversed, the test passed. It now compares the order of the grants of one team, and fails then ("5" is not less than "3").

--- a/slot/owner_test.go
+++ b/slot/owner_test.go
@@ -1,6 +1,7 @@
 package slot
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 	number       uint64
 	grants       []Grant
 	grantedTeams []team.Name
+	grantedIDs   []TicketID
 	errs         []error
 }
 
@@ -39,6 +41,7 @@
 			}
 			h.grants = append(h.grants, g)
 			h.grantedTeams = append(h.grantedTeams, name)
+			h.grantedIDs = append(h.grantedIDs, id)
 		},
 	})
 	return id
@@ -52,14 +55,15 @@
 	for range 6 {
 		h.acquire("1", "heavy", 1, time.Hour)
 	}
-	h.acquire("1", "light", 2, 2*time.Hour)
+	middle := h.acquire("1", "light", 2, 2*time.Hour)
 	late := h.acquire("1", "light", 2, 3*time.Hour)
 	early := h.acquire("1", "light", 2, time.Hour)
-	require.Less(t, early.Number, late.Number+2)
 	for range 9 {
 		h.owner.Release(h.now, h.grants[len(h.grants)-1].LeaseID, ResultCompleted)
 	}
 	require.Equal(t, []team.Name{"first", "heavy", "light", "light", "heavy", "light", "heavy", "heavy", "heavy", "heavy"}, h.grantedTeams)
+	require.Less(t, slices.Index(h.grantedIDs, early), slices.Index(h.grantedIDs, middle))
+	require.Less(t, slices.Index(h.grantedIDs, middle), slices.Index(h.grantedIDs, late))
 }
 
 // TestIdleTargetsShareRequests guards against idle targets that get no requests while others get all of them.
