ledger: TestMove checks that the ledger never returns to a former partition

With the check of used partitions taken out, the test passed: only a ledger that has moved through most partitions finds a former one next. It now moves until that is the case, and fails then ("expected: 1, actual: 0").

--- a/ledger/ledger.go
+++ b/ledger/ledger.go
@@ -86,7 +86,7 @@
 	wake      chan struct{}
 	// sequence is the sequence number of the last append. Only Open and Run use it, without the lock.
 	sequence platform.Sequence
-	// stalledSince is when the current append was first sent; zero once the store has confirmed it. oldestSent is when
+	// stalledSince is when the current append was first sent; zero once it has an outcome. oldestSent is when
 	// its first write was queued.
 	stalledSince, oldestSent time.Time
 }
--- a/ledger/ledger_test.go
+++ b/ledger/ledger_test.go
@@ -245,7 +245,8 @@
 
 // TestMove guards against an owner that stops working because one partition is unavailable. The ledger must
 // move with all its records, delete the leftover records of an earlier use of the new partition, and still
-// accept new jobs.
+// accept new jobs. It must not return to a partition that it has written to, where an unanswered append may still take
+// effect.
 func TestMove(t *testing.T) {
 	leftover := platform.Record{Key: "left", Value: []byte("1")}
 	s := &store{up: true, unavailable: map[int]bool{}, byPartition: map[int][]platform.Record{2: {leftover}}}
@@ -258,9 +259,11 @@
 	s.update(func(s *store) {
 		require.Equal(t, []platform.Record{leftover, {Key: "left"}, {Key: "old", Value: []byte("1")}, {Key: "b", Value: []byte("1")}}, s.byPartition[2])
 	})
-	s.update(func(s *store) { s.unavailable = map[int]bool{2: true} })
-	require.NoError(t, writeAndWait(t, l, true, platform.Record{Key: "c", Value: []byte("1")}))
-	require.Equal(t, 3, owner.partition, "the ledger must move again when its new partition is unavailable")
+	for _, next := range []int{3, 5, 7, 1} { // 0 was used before
+		s.update(func(s *store) { s.unavailable = map[int]bool{owner.partition: true, next - 1: next > 1} })
+		require.NoError(t, writeAndWait(t, l, true, platform.Record{Key: "c", Value: []byte("1")}))
+		require.Equal(t, next, owner.partition, "the ledger must move again, and never to a former partition")
+	}
 }
 
 // TestMoveRefused guards against writes that are confirmed from a partition that later owners do not open. A publication
