job: a cancel of a job that was removed meanwhile is not answered with "queued"

A caller that cancelled a job was told that it is queued if it had ended and been removed from the state before the answer.

Cause: the answer took the status of an unknown job for queued, as that of a submit does.

Evidence: TestCancelledJobQueued failed ("Should be true": no error).

Change: such a cancel is answered as one that comes later: the job is not known.

--- a/job/handler.go
+++ b/job/handler.go
@@ -231,8 +231,11 @@
 		return StatusResponse{}, err
 	}
 	// A rejected record means that the job has ended in the meantime. The response then carries its
-	// final status.
-	return StatusResponse{ID: id, Status: h.currentStatus(id)}, nil
+	// final status, unless the job was removed since.
+	if j, ok = h.State.Job(id); !ok {
+		return StatusResponse{}, &NotFoundError{ID: id}
+	}
+	return StatusResponse{ID: id, Status: j.Status}, nil
 }
 
 // propose appends a record and waits until it is applied or rejected. An empty author stands for this entry.
--- a/job/handler_test.go
+++ b/job/handler_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"hibiscuslane.example/hibiscuslane/record"
 	"hibiscuslane.example/hibiscuslane/standin/appendlog"
 	"hibiscuslane.example/hibiscuslane/team"
 )
@@ -115,3 +117,21 @@
 	got = e.serveRequest(http.MethodDelete, PathPrefix+"/"+string(done), "", "")
 	require.Contains(t, got.Body.String(), `"status":"done"`)
 }
+
+// removingProposer applies each record and removes all jobs before it returns.
+type removingProposer struct{ h *harness }
+
+func (p removingProposer) Propose(_ context.Context, _ record.Kind, _ record.Author, body any) (record.Offset, error) {
+	p.h.apply(body.(Body), newSubmit("other", "x", 1), &Cancel{IDs: []ID{"other"}})
+	return 0, nil
+}
+
+// TestCancelledJobQueued guards against a job that is reported as queued after its cancellation because it has ended and was
+// removed in the meantime.
+func TestCancelledJobQueued(t *testing.T) {
+	h := &harness{t: t, state: &State{Limits: Limits{MaxEndedJobs: 1}}}
+	h.apply(newSubmit("a", "x", 1))
+	handler := NewHandler(HandlerOptions{State: h.state, Proposer: removingProposer{h}, Ready: func() bool { return true }})
+	_, err := handler.cancel(t.Context(), "a")
+	require.True(t, IsNotFound(err))
+}
