config: PauseAfterFailures does not stop moves into short pools

The comment promised that no new drain starts while many instances fail. Moves into pools that lack instances do, and must: with these paused too, planner TestDataCentreLoss and TestReplacementSite fail, since the lost instances of a data centre are not replaced.

The comment now says so; the behaviour stays.

--- a/config/settings.go
+++ b/config/settings.go
@@ -47,6 +47,7 @@
 	MaxPerRack   int `json:"rack"`
 	MaxPerCentre int `json:"centre"`
 	// PauseAfterFailures is the number of instances of the whole fleet that fail within ten minutes at which no
-	// new drain starts, neither for maintenance nor to release surplus instances.
+	// new drain starts for maintenance or to release surplus instances. Instances are still moved into pools that lack
+	// some, to replace those that have failed.
 	PauseAfterFailures int `json:"pause"`
 }
