standin/fabric: the store takes keys of 255 bytes

The stand-in of the store failed at the longest key whose length fits into its byte: the end of the key was computed in a byte.

Evidence: TestLongestKey ended with "slice bounds out of range [1:0]". The encoder and decoder of package platform compute it as an int.

--- a/standin/fabric/store.go
+++ b/standin/fabric/store.go
@@ -112,8 +112,8 @@
 func (p *partition) appendRecord(raw []byte) {
 	r := record{raw: raw}
 	if len(raw) > 0 && int(raw[0]) < len(raw) {
-		r.key = string(raw[1 : 1+raw[0]])
-		r.value = string(raw[1+raw[0]:])
+		valueStart := 1 + int(raw[0])
+		r.key, r.value = string(raw[1:valueStart]), string(raw[valueStart:])
 	}
 	p.records = append(p.records, r)
 	if r.value == "" {
