entry: BenchmarkProcess reads the addresses of the log line as text

BenchmarkProcess, at which make bench stops, failed: "cannot unmarshal string into Go struct field .Callers of type net.TCPAddr". The line entry.started has the addresses as strings, and the benchmark decoded structures.

--- a/entry/process_test.go
+++ b/entry/process_test.go
@@ -207,13 +207,13 @@
 	require.NoError(b, err)
 	require.NoError(b, p.command.Start())
 	events := bufio.NewReader(stderr)
-	var addresses struct{ Callers, Admin net.TCPAddr }
-	for addresses.Callers.Port == 0 {
+	var addresses struct{ Callers, Admin string }
+	for addresses.Callers == "" {
 		line, err := events.ReadBytes('\n')
 		require.NoError(b, err)
 		require.NoError(b, json.Unmarshal(line, &addresses), string(line))
 	}
-	p.callers, p.admin = addresses.Callers.String(), addresses.Admin.String()
+	p.callers, p.admin = addresses.Callers, addresses.Admin
 	p.logReader.Go(func() { _, _ = io.Copy(io.Discard, events) })
 	require.Eventually(b, func() bool {
 		response, err := http.Get("http://" + p.admin + "/ready")
