slot: a release also reaches the owner to which the slot was reported

After a change of owner, slots that became free stayed unused for up to a second: only the former owner learned of the release, and the new one counted the slot until the next report.

Evidence: TestReleaseToFormerOwner failed ("the slot is not granted again").

The simulation always did so, and its comment no longer says that Client differs.

--- a/slot/client.go
+++ b/slot/client.go
@@ -69,7 +69,7 @@
 }
 
 // heldSlot is a granted slot and the owner that granted it. The release is sent to that owner even if
-// another entry owns the pool by then; the new owner learns of it from the next report.
+// another entry owns the pool by then, and to the owner to which the slot was reported.
 type heldSlot struct {
 	grant Grant
 	owner instance.ID
@@ -278,6 +278,7 @@
 	p := c.poolState(grant.Pool)
 	p.mu.Lock()
 	held, known := p.held[grant.LeaseID]
+	reportedTo := p.reportedTo
 	if !known {
 		p.mu.Unlock()
 		return
@@ -292,13 +293,25 @@
 	}
 	p.mu.Unlock()
 	if next == nil {
-		c.queueReturn(p, grant.Pool, held.owner, &peer.Return{Lease: string(grant.LeaseID), Result: string(result)})
+		c.returnLease(p, held, reportedTo, result, 0)
 		return
 	}
-	c.queueReturn(p, grant.Pool, held.owner, &peer.Return{Lease: string(grant.LeaseID), Result: string(resultTransferred), Ticket: next.id.Number})
+	c.returnLease(p, held, reportedTo, resultTransferred, next.id.Number)
 	next.deliver(grant, nil)
 }
 
+// returnLease tells the owner that granted a slot, and the one to which it was reported if that is another entry, what became
+// of it.
+func (c *Client) returnLease(p *poolState, held heldSlot, reportedTo instance.ID, result Result, ticket uint64) {
+	owners := []instance.ID{held.owner}
+	if reportedTo != "" && reportedTo != held.owner {
+		owners = append(owners, reportedTo)
+	}
+	for _, owner := range owners {
+		c.queueReturn(p, held.grant.Pool, owner, &peer.Return{Lease: string(held.grant.LeaseID), Result: string(result), Ticket: ticket})
+	}
+}
+
 // queueReturn queues a message to an owner. It starts sendReturns unless that is running, in which case
 // the message is part of the next batch. If this entry is the owner, the message is applied immediately.
 func (c *Client) queueReturn(p *poolState, name pool.Name, owner instance.ID, message *peer.Return) {
--- a/slot/client_test.go
+++ b/slot/client_test.go
@@ -180,3 +180,34 @@
 		require.NoError(t, err)
 	}
 }
+
+// TestReleaseToFormerOwner guards against slots that stay unused after a change of owner, until the next report, because only
+// the former owner learns that they were released.
+func TestReleaseToFormerOwner(t *testing.T) {
+	capacity := fixedCapacity{targets: []instance.ID{"t1"}, maxQueued: 10}
+	c := startCluster(t, capacity, "1", "2")
+	client := &Client{Self: "3", Incarnation: 3, Ranking: c, Peers: &peer.Clients{}, Capacity: capacity} // reports only to new owners
+	var held Grant
+	for range slotCount {
+		grant, err := client.Acquire(t.Context(), ticket(time.Minute))
+		require.NoError(t, err)
+		held = grant
+	}
+	client.suspectOwner(testPool, "1", context.DeadlineExceeded)
+	granted := make(chan error, 1)
+	go func() {
+		_, err := client.Acquire(t.Context(), ticket(time.Minute))
+		granted <- err
+	}()
+	require.Eventually(t, func() bool {
+		usage := c.clients["2"].Local.Usage()
+		return len(usage) == 1 && usage[0].Used == slotCount && usage[0].Waiting == 1
+	}, 5*time.Second, time.Millisecond)
+	client.Release(held, ResultUnused)
+	select {
+	case err := <-granted:
+		require.NoError(t, err)
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the slot is not granted again")
+	}
+}
--- a/slot/simulation_test.go
+++ b/slot/simulation_test.go
@@ -206,8 +206,7 @@
 
 // simulateReuse is the strategy of Client: one owner grants the slots, and entries reuse held slots for
 // their own requests. If killAt is positive, the owner and its requests are lost at that time; the other
-// entries report their slots to a new owner and request slots for their waiting requests there. Unlike
-// Client, they also release the slots of the lost owner to the new one.
+// entries report their slots to a new owner, release them to it, and request slots for their waiting requests there.
 func simulateReuse(list []arrival, centreLatency, killAt time.Duration) results {
 	sim := newSimulation()
 	r := &reuseSimulation{simulation: sim, centreLatency: centreLatency, ownerEntry: 4, tickets: map[TicketID]arrival{}}
