dispatch: an idle worker that was replaced does not stay the current one of its machine

Orders for the machine and the plan of the pools went by the state of the earlier worker.

Evidence: TestEntryOfUnansweredWorker failed ("Not same").

Change: a worker stays current beside a later one only if it answered a call that was sent after the later one had registered; placement follows the same rule.

--- a/dispatch/registration.go
+++ b/dispatch/registration.go
@@ -240,11 +240,12 @@
 	return s.hasAnswered || r.worker != nil && !r.worker.unreachableSince.IsZero()
 }
 
-// isLaterThan reports whether a worker is the later one of two on a machine. One that answers is not replaced by one that
-// has not answered.
+// isLaterThan reports whether a worker is the later one of two on a machine. One that answers a call which was sent after the
+// other had registered is not replaced by that one before it has answered too.
 func (s *workerState) isLaterThan(other *workerState) bool {
 	if s.incarnation < other.incarnation {
 		return !other.isLaterThan(s)
 	}
-	return s.incarnation > other.incarnation && (s.hasAnswered || !other.hasAnswered || !other.unreachableSince.IsZero())
+	isKept := other.successor == nil && other.hasAnswered && other.unreachableSince.IsZero()
+	return s.incarnation > other.incarnation && (s.hasAnswered || !isKept)
 }
--- a/dispatch/registration_test.go
+++ b/dispatch/registration_test.go
@@ -65,11 +65,15 @@
 	d.applyRegistration(entryRecord("w", "desk", 1000))
 	s := d.workers["w"]
 	r := addRun(d, s, d.firstRunNumber(), phaseRunning)
-	d.applyRegistration(entryRecord("claimed", "desk", 2000))
 	now := d.clock.Now()
-	require.Contains(t, d.runs, r.id, "the owner has not asked the worker yet")
 	d.applyReport(s, reportOf(1000, r), now, now)
+	d.applyRegistration(entryRecord("claimed", "desk", 2000))
 	claimed := d.workers["claimed"]
+	require.Contains(t, d.runs, r.id, "the owner has not asked the worker yet")
+	require.False(t, d.canTakeTasks(s))
+	require.Same(t, claimed, d.currentWorkers()["m"], "a machine whose worker is not known is not ordered")
+	now = d.clock.Now()
+	d.applyReport(s, reportOf(1000, r), now, now)
 	d.recordFailedRenewal(claimed, context.DeadlineExceeded, now)
 	d.applyReport(claimed, worker.Report{}, now, now)
 	require.Contains(t, d.runs, r.id)
