dispatch: an order for a machine does not count as a crash of its worker

Since runs are given up only once the later worker of a machine has answered, tasks were blamed for the end of their worker by a confirmed order for the machine: the registration of the next worker settles the order, and its answer, which ended the runs, came after that. A job whose tasks are blamed several times fails.

Evidence: TestOrderCountsAsCrash failed ("Should be zero, but was 1").

Change: while a confirmed order explains the later worker, its registration ends the earlier runs at once, as before, and the order is settled after that.

--- a/dispatch/machine_order.go
+++ b/dispatch/machine_order.go
@@ -169,3 +169,9 @@
 	onConfirmed()
 	return true
 }
+
+// isReturnExpected reports whether a confirmed order for a machine ends incarnations before the given one.
+func (m *maintenance) isReturnExpected(id worker.MachineID, incarnation worker.Incarnation) bool {
+	order, ok := m.pendingOrders[id]
+	return ok && order.confirmed && incarnation > order.incarnation
+}
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -93,8 +93,7 @@
 // clearOrderOnReturn removes the confirmed order of a machine on which a new incarnation has registered.
 // The list of machines may be older, so that the entry of the machine is updated.
 func (m *maintenance) clearOrderOnReturn(id worker.MachineID, incarnation worker.Incarnation, to pool.Name) {
-	order, ok := m.pendingOrders[id]
-	if !ok || !order.confirmed || incarnation <= order.incarnation {
+	if !m.isReturnExpected(id, incarnation) {
 		return
 	}
 	delete(m.pendingOrders, id)
--- a/dispatch/registration.go
+++ b/dispatch/registration.go
@@ -190,18 +190,19 @@
 }
 
 // endEarlierIncarnations ends earlier workers on the machine of a worker, and their runs. Until the worker has answered, its
-// registration may come from another program: then only runs on workers that do not answer either are ended, and none before
-// the pools are known.
+// registration may come from another program: then only runs on workers that do not answer either, or that an order for the
+// machine has ended, are ended, and none before the pools are known.
 func (d *Dispatcher) endEarlierIncarnations(s *workerState) {
 	machine := s.registration.Machine
 	if machine == "" || s.incarnation == 0 || d.config == nil && !s.hasAnswered {
 		return
 	}
 	now := d.clock.Now()
+	isCertain := s.hasAnswered || d.maintenance.isReturnExpected(machine, s.incarnation)
 	ended := d.takeLostRuns(machine, s.incarnation)
 	leaving := false
 	for _, r := range d.runsOfMachine(machine) {
-		if r.endsWithStartOf(s) {
+		if r.endsWithStartOf(s, isCertain) {
 			ended = append(ended, r)
 			leaving = leaving || r.worker != nil && r.worker.isLeaving()
 		}
@@ -232,12 +233,13 @@
 	}
 }
 
-// endsWithStartOf reports whether a run has ended because a later worker has started on its machine.
-func (r *run) endsWithStartOf(s *workerState) bool {
+// endsWithStartOf reports whether a run has ended because a later worker has started on its machine. Unless that is certain, it
+// has if its own worker is silent.
+func (r *run) endsWithStartOf(s *workerState, isCertain bool) bool {
 	if r.workerID == s.id || r.incarnation >= s.incarnation {
 		return false
 	}
-	return s.hasAnswered || r.worker != nil && !r.worker.unreachableSince.IsZero()
+	return isCertain || r.worker != nil && !r.worker.unreachableSince.IsZero()
 }
 
 // isLaterThan reports whether a worker is the later one of two on a machine. One that answers a call which was sent after the
--- a/dispatch/registration_test.go
+++ b/dispatch/registration_test.go
@@ -85,6 +85,21 @@
 	require.Same(t, claimed, d.currentWorkers()["m"])
 }
 
+// TestOrderCountsAsCrash guards against tasks that are blamed for the end of their worker by an order for its machine: the next
+// worker has registered, which settles the order, before the owner knows that the earlier one does not answer any more.
+func TestOrderCountsAsCrash(t *testing.T) {
+	d := newIdleDispatcher(t, queue.New(1, nil, []queue.Pool{{Name: "desk"}}))
+	d.applyRegistration(entryRecord("w", "desk", 1000))
+	r := addRun(d, d.workers["w"], d.firstRunNumber(), phaseUnconfirmed)
+	now := d.clock.Now()
+	d.applyReport(r.worker, reportOf(1000, r), now, now)
+	d.maintenance.pendingOrders = map[worker.MachineID]machineOrder{"m": {since: now, incarnation: 1000, confirmed: true}}
+	d.applyRegistration(entryRecord("next", "desk", 2000))
+	d.applyReport(d.workers["next"], reportOf(2000), now, now)
+	require.NotContains(t, d.runs, r.id)
+	require.Zero(t, r.task().Crashes)
+}
+
 // TestSilentWorkerReplaced guards against runs that are kept on a worker that no longer answers and whose machine has a later
 // one, which does not answer either.
 func TestSilentWorkerReplaced(t *testing.T) {
