--- a/Makefile
+++ b/Makefile
@@ -51,12 +51,13 @@
 demo:
 	go run ./standin demo
 
-# Runs the soak test with each seed of SEEDS. With CARRIED=true, other entries carry the calls to workers. The logs of failed runs are kept in bin/soak.
+# Runs the soak test with each seed of SEEDS and the number of entries in ENTRIES. With CARRIED=true, other entries carry the calls to workers. The logs of failed runs are kept in bin/soak.
 SEEDS := 1-50
+ENTRIES := 5
 CARRIED := false
 soak:
 	mkdir -p bin/soak
-	go test -count=1 ./soak -run TestSeeds -timeout 60m -v -args -seeds $(SEEDS) -carried=$(CARRIED) -logs ../bin/soak
+	go test -count=1 ./soak -run TestSeeds -timeout 60m -v -args -seeds $(SEEDS) -entries $(ENTRIES) -carried=$(CARRIED) -logs ../bin/soak
 
 events:
 	go test ./event -args -catalogue
