dispatch: a worker that is watched for a late start is not asked in a loop

While the ends that it had reported were being stored, a worker without runs would have been asked again as soon as it had answered: it answers at once as long as it lists ends. It is asked once they are stored. Found by reading.

--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -70,7 +70,7 @@
 		}
 		return renewal, true
 	case s.hasNoRuns():
-		if now.Before(d.lateStarts[s.id]) && s.storedEnd == s.ackedEnd {
+		if now.Before(d.lateStarts[s.id]) && s.reportedEnd == s.ackedEnd {
 			renewal.MaxWait = maxReportDelay
 			return renewal, true
 		}
