dispatch: stops and other orders of a worker take turns

Starts were never sent to a worker that answers renewals and leaves stops unanswered, while tasks were placed there. Cause: since stops have a queue of their own, two runs whose stops are not answered kept it filled: a stop takes 0.4 s and was queued again after 0.5 s.

Change: after a stop another order goes first, and a stop is queued again only after the time in which the queue is sent.

--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -25,8 +25,9 @@
 // stopOrphanedRuns stops the runs on a worker that the owner does not know. A stop is repeated while the run is listed, but
 // not for each report: many stops would delay the other orders.
 func (d *Dispatcher) stopOrphanedRuns(s *workerState, now time.Time) {
+	interval := s.stopInterval()
 	for id, stopSentAt := range s.orphanedRuns {
-		if now.Sub(stopSentAt) < stopRetryInterval {
+		if now.Sub(stopSentAt) < interval {
 			continue
 		}
 		s.orphanedRuns[id] = now
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -26,7 +26,7 @@
 	// startConfirmTimeout is how long a run whose start order was not answered may be missing from reports
 	// before it is stopped.
 	startConfirmTimeout = 250 * time.Millisecond
-	// stopRetryInterval is the time after which an unconfirmed stop is sent again.
+	// stopRetryInterval is the least time after which an unconfirmed stop is sent again.
 	stopRetryInterval = 500 * time.Millisecond
 	// refusedRetryDelay is how long a task waits after a worker refused to start it.
 	refusedRetryDelay = 150 * time.Millisecond
@@ -277,10 +277,10 @@
 	d.sendStop(r, now)
 }
 
-// sendStop sends a stop unless one was sent less than stopRetryInterval ago.
+// sendStop sends a stop unless one was sent less than stopInterval ago.
 func (d *Dispatcher) sendStop(r *run, now time.Time) {
 	s := r.worker
-	if s == nil || now.Sub(r.stopSentAt) < stopRetryInterval {
+	if s == nil || now.Sub(r.stopSentAt) < s.stopInterval() {
 		return
 	}
 	r.stopSentAt = now
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -199,37 +199,46 @@
 	}
 }
 
-// sendOrders sends the queued orders of a worker one after the other. Stops go first, because each start that is not
-// answered takes orderTimeout.
+// sendOrders sends the queued orders of a worker one after the other. An order that is not answered takes orderTimeout, so that
+// stops and other orders take turns: neither waits behind more than one of the others.
 func (d *Dispatcher) sendOrders(ctx context.Context, s *workerState) {
+	next, other := s.stops, s.orders
 	for ctx.Err() == nil {
-		order := s.nextOrder(ctx)
+		order, isNext := takeOrder(ctx, next, other)
 		if order == nil {
 			return
 		}
 		callCtx, cancel := d.clock.WithTimeout(ctx, orderTimeout)
 		order(callCtx)
 		cancel()
+		if isNext {
+			next, other = other, next
+		}
 	}
 }
 
-// nextOrder waits for the order to send next. It returns nil once ctx has ended.
-func (s *workerState) nextOrder(ctx context.Context) func(context.Context) {
+// takeOrder waits for an order in one of two queues and prefers the first, as it reports. It returns nil once ctx has ended.
+func takeOrder(ctx context.Context, first, second chan func(context.Context)) (order func(context.Context), isFirst bool) {
 	select {
-	case order := <-s.stops:
-		return order
+	case order := <-first:
+		return order, true
 	default:
 	}
 	select {
 	case <-ctx.Done():
-		return nil
-	case order := <-s.stops:
-		return order
-	case order := <-s.orders:
-		return order
+		return nil, false
+	case order := <-first:
+		return order, true
+	case order := <-second:
+		return order, false
 	}
 }
 
+// stopInterval returns the time after which a stop that was not confirmed is sent again. By then it has left the queue.
+func (s *workerState) stopInterval() time.Duration {
+	return stopRetryInterval + time.Duration(2*len(s.stops))*orderTimeout
+}
+
 // applyReport processes a worker's status report, the response to a renewal that was sent at the given time.
 // It reports whether the report contained a new end.
 func (d *Dispatcher) applyReport(s *workerState, report worker.Report, sent, now time.Time) bool {
