dispatch: a worker whose ends wait for the store is not asked in a loop

TestRenewalLoop failed ("Should not be zero, but was 0s"). The pause of other renewals applies until the end is stored.

--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -177,7 +177,7 @@
 	if s.hasUnresolvedRuns() {
 		return 2 * minRenewalPause
 	}
-	if hasNewEnds || renewal.MaxWait == 0 {
+	if hasNewEnds || renewal.MaxWait == 0 || s.reportedEnd > s.storedEnd {
 		return renewalPause(d.busyWorkers, d.renewalTime(), d.cores)
 	}
 	return 0
--- a/dispatch/worker_state_test.go
+++ b/dispatch/worker_state_test.go
@@ -116,3 +116,18 @@
 	require.Equal(t, worker.Incarnation(2000), s.incarnation)
 	require.True(t, d.canTakeTasks(s))
 }
+
+// TestRenewalLoop guards against a worker that is asked in a loop while the store does not take an end that it has reported:
+// it answers at once as long as it lists ends.
+func TestRenewalLoop(t *testing.T) {
+	d, s, listed, _ := newRestart(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"clock_ms":500,"born":1000,"running":[],"ended":[[1,"00000000000000bb.0.0.0",1,"done",""]]}`))
+	}))
+	defer server.Close()
+	s.client = &platform.Worker{ID: "w", Address: instance.Address(strings.TrimPrefix(server.URL, "http://")), Client: platform.NewDirectClient()}
+	listed.phase = phaseRunning
+	for range 2 {
+		require.NotZero(t, d.renewLease(t.Context(), s, platform.Renewal{MaxWait: maxReportDelay, EndsOnly: true}))
+	}
+}
