dispatch: a refused cancel leaves no record of a withdrawn job

A job was accepted with 200, shown as cancelled and never run: an earlier submission of it and a cancel had both been refused while the store was away. Cause: the write of the submission was withdrawn, but the write of the cancel, which the ledger does not withdraw, was stored later; the next owner restored a cancelled job.

Evidence: TestRefusedCancelStored fails with the deletion left out ("Condition never satisfied"). Change: what a later write stores of a withdrawn job is deleted, unless the job was submitted again, whose write follows.

--- a/dispatch/persistence.go
+++ b/dispatch/persistence.go
@@ -150,6 +150,7 @@
 	if err == nil {
 		for _, j := range jobs {
 			j.pendingWrites--
+			d.deleteIfWithdrawn(j)
 		}
 	}
 	for _, callback := range callbacks {
@@ -191,6 +192,19 @@
 	}
 }
 
+// deleteIfWithdrawn deletes what a later write has stored of a job that was withdrawn meanwhile. If the job was submitted again,
+// the write of that submission follows and replaces it.
+func (d *Dispatcher) deleteIfWithdrawn(j *job) {
+	if j.withdrawn && d.jobs[j.ID] == nil {
+		d.ledger.Write(deletionOf(j.ID), nil)
+	}
+}
+
+// deletionOf returns the records that delete a job.
+func deletionOf(id task.JobID) []platform.Record {
+	return []platform.Record{{Key: submissionKeyPrefix + string(id)}, {Key: progressKeyPrefix + string(id)}}
+}
+
 // changedRecords returns the ledger records to write for a job. The first call includes the submission; for
 // a job that has ended, the submission is deleted.
 func (d *Dispatcher) changedRecords(j *job) []platform.Record {
@@ -365,7 +379,7 @@
 		if !d.canDrop(j, now) || len(records) >= recordsPerDrop*maxDropsPerWrite {
 			continue
 		}
-		records = append(records, platform.Record{Key: submissionKeyPrefix + string(id)}, platform.Record{Key: progressKeyPrefix + string(id)})
+		records = append(records, deletionOf(id)...)
 		delete(d.jobs, id)
 	}
 	if len(records) > 0 {
--- a/dispatch/requests_test.go
+++ b/dispatch/requests_test.go
@@ -1,11 +1,16 @@
 package dispatch
 
 import (
+	"context"
+	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"hibiscuslane.example/hibiscuslane/event"
+	"hibiscuslane.example/hibiscuslane/ledger"
 	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/queue"
 	"hibiscuslane.example/hibiscuslane/relay"
@@ -89,3 +94,39 @@
 	require.Equal(t, relay.Verdict_REFUSED, d.Submit(t.Context(), testQueue, testJob, spec).Verdict)
 	require.Zero(t, d.Counters().OpenJobs)
 }
+
+// refusingStore refuses appends while it is down.
+type refusingStore struct {
+	*keyedStore
+	down atomic.Bool
+}
+
+func (s *refusingStore) Append(ctx context.Context, topic platform.Topic, part int, producer platform.Producer, records []platform.Record) error {
+	if s.down.Load() {
+		return &platform.StatusError{Call: "append", Status: http.StatusServiceUnavailable}
+	}
+	return s.keyedStore.Append(ctx, topic, part, producer, records)
+}
+
+// TestRefusedCancelStored guards against a job that is accepted and never runs: an earlier submission of it and a cancel were
+// both refused, but the write of the cancel was stored after that of the submission was withdrawn.
+func TestRefusedCancelStored(t *testing.T) {
+	s := &refusingStore{keyedStore: &keyedStore{}}
+	d := newServingOwner(t, s.keyedStore, 1)
+	l, _, err := ledger.Open(t.Context(), s, ledger.TopicJobs, 0, 1, d.clock, event.Log{})
+	require.NoError(t, err)
+	go func() { _ = l.Run(t.Context()) }() // ends with the test
+	d.mu.Lock()
+	d.ledger = l
+	d.mu.Unlock()
+	s.down.Store(true)
+	replies := make(chan *relay.Reply, 2)
+	go func() { replies <- d.Submit(t.Context(), testQueue, testJob, testSpec) }()
+	require.Eventually(t, func() bool { return l.StalledFor() > 0 }, time.Second, time.Millisecond)
+	go func() { replies <- d.Cancel(t.Context(), testJob) }()
+	require.Equal(t, relay.Verdict_REFUSED, (<-replies).Verdict)
+	s.down.Store(false)
+	require.Equal(t, relay.Verdict_REFUSED, (<-replies).Verdict)
+	l.Flush(t.Context())
+	require.Eventually(t, func() bool { return len(newOwnerOfEpoch(t, s.keyedStore, 1).jobs) == 0 }, time.Second, time.Millisecond)
+}
