dispatch: an unchanged entry of a worker is not a restart

Runs were given up, and may run twice, when an entry with an earlier incarnation's start time changed otherwise, for example to draining, after the report of a later incarnation whose clock was set back. TestUnchangedEntryEndsRuns failed ("does not contain"). An entry counts as a restart only if its start time has changed.

--- a/dispatch/registration.go
+++ b/dispatch/registration.go
@@ -146,11 +146,11 @@
 // checkIncarnation processes the incarnation in a changed registration of a known worker.
 func (d *Dispatcher) checkIncarnation(s *workerState, previous, registered worker.Incarnation) {
 	switch {
-	case registered == 0 || s.incarnation == 0 || registered == s.incarnation:
+	case registered == 0 || s.incarnation == 0 || registered == s.incarnation || registered == previous:
 	case registered > s.incarnation:
 		d.handleRestart(s, registered)
 		s.requestRenewal()
-	case registered != previous:
+	default:
 		// The clock of the worker may have been set back before a restart. The next report shows that.
 		s.runsListedAt = time.Time{}
 		s.requestRenewal()
--- a/dispatch/registration_test.go
+++ b/dispatch/registration_test.go
@@ -131,3 +131,18 @@
 	require.Contains(t, d.registrations, worker.ID("w"))
 	require.NotContains(t, d.registrations, worker.ID("agent"))
 }
+
+// TestUnchangedEntryEndsRuns guards against runs that are given up because of the entry of an earlier incarnation: the clock of
+// the worker was set back, so that its later incarnation has an earlier start time.
+func TestUnchangedEntryEndsRuns(t *testing.T) {
+	d := newIdleDispatcher(t, queue.New(1, nil, []queue.Pool{{Name: "desk"}}))
+	d.applyRegistration(entryRecord("w", "desk", 1000))
+	s, now := d.workers["w"], d.clock.Now()
+	d.applyReport(s, reportOf(1000), now, now)
+	now = d.clock.Now()
+	d.applyReport(s, reportOf(900), now, now)
+	r := addRun(d, s, d.firstRunNumber(), phaseRunning)
+	d.applyReport(s, reportOf(900, r), now, now)
+	d.applyRegistration(entryRecord("w", "desk", 1000))
+	require.Contains(t, d.runs, r.id)
+}
