dispatch: an entry for which nobody has answered counts no crash

Tasks whose runs had been given up with the lease of their worker were blamed for a crash as soon as an entry named its machine with a later start time. TestEntryCountsAsCrash failed ("Should be zero, but was 1"). The lost runs are judged once the later worker has answered.

--- a/dispatch/registration.go
+++ b/dispatch/registration.go
@@ -199,7 +199,10 @@
 	}
 	now := d.clock.Now()
 	isCertain := s.hasAnswered || d.maintenance.isReturnExpected(machine, s.incarnation)
-	ended := d.takeLostRuns(machine, s.incarnation)
+	var ended []*run
+	if isCertain {
+		ended = d.takeLostRuns(machine, s.incarnation)
+	}
 	leaving := false
 	for _, r := range d.runsOfMachine(machine) {
 		if r.endsWithStartOf(s, isCertain) {
--- a/dispatch/registration_test.go
+++ b/dispatch/registration_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -146,3 +147,13 @@
 	d.applyRegistration(entryRecord("w", "desk", 1000))
 	require.Contains(t, d.runs, r.id)
 }
+
+// TestEntryCountsAsCrash guards against tasks that are blamed for a crash on the word of an entry for which nobody answers.
+func TestEntryCountsAsCrash(t *testing.T) {
+	d, s, listed, _ := newRestart(t)
+	now := d.clock.Now()
+	s.unreachableSince, d.registrationsLoadedAt = now.Add(-time.Hour), now.Add(-time.Hour)
+	d.expireRuns(s, now)
+	d.applyRegistration(entryRecord("claimed", "desk", 2000))
+	require.Zero(t, listed.task().Crashes)
+}
