--- a/election/election.go
+++ b/election/election.go
@@ -90,6 +90,8 @@
 	// resigned is set if this process gives up ownership in favour of a peer. It then claims ownership again only
 	// after reclaimDelay.
 	resigned bool
+	// epoch is that of the term that ends; zero for the current one.
+	epoch platform.Epoch
 }
 
 func (Gained) isChange() {}
@@ -292,28 +294,18 @@
 		return nil
 	}
 	if _, expired := platform.FirstKeptOffset(err); expired || err == nil {
-		e.loseTerm(epoch, "another process has claimed ownership")
+		e.applyChange(Lost{Reason: "another process has claimed ownership", epoch: epoch})
 		return &TermEndedError{Epoch: epoch}
 	}
 	if ctx.Err() == nil {
 		e.Log.Debug(eventClaimsUnreadable, "error", err)
 	}
 	if e.StoreSilence() > ConfirmTimeout {
-		e.loseTerm(epoch, "the store does not answer")
+		e.applyChange(Lost{Reason: "the store does not answer", epoch: epoch})
 	}
 	return err
 }
 
-// loseTerm ends the term with the given epoch, unless this process has begun a later one meanwhile.
-func (e *Elector) loseTerm(epoch platform.Epoch, reason string) {
-	e.mu.Lock()
-	hasLaterTerm := e.lastEpoch != epoch
-	e.mu.Unlock()
-	if !hasLaterTerm {
-		e.applyChange(Lost{Reason: reason})
-	}
-}
-
 // areOwnClaims reports whether all claims from an offset on belong to this process, which appends claims when
 // its ledger moves. It returns false if the batch lacks some of them, since another process may have appended
 // those.
@@ -466,7 +458,7 @@
 // Resign gives up ownership so that a peer can claim it.
 func (e *Elector) Resign(reason string) { e.applyChange(Lost{Reason: reason, resigned: true}) }
 
-// applyChange records a change of ownership and reports it to OnChange. It ignores the loss of ownership that this
+// applyChange records a change of ownership and reports it to OnChange. It ignores the loss of ownership or of a term that this
 // process does not have, a term that is not newer than the last one, and any new term after the end of Run.
 func (e *Elector) applyChange(c Change) {
 	e.changeMu.Lock()
@@ -482,7 +474,7 @@
 		e.owner = e.Member
 		e.vacantSince, e.resignedAt = time.Time{}, time.Time{}
 	case Lost:
-		if e.epoch == 0 {
+		if e.epoch == 0 || c.epoch != 0 && c.epoch != e.epoch {
 			e.mu.Unlock()
 			return
 		}
--- a/election/partition.go
+++ b/election/partition.go
@@ -32,11 +32,11 @@
 		e.Log.Info(eventPublishRetried, "part", partition, "epoch", epoch, "error", err)
 		var ended *TermEndedError
 		if errors.As(err, &ended) {
-			e.applyChange(Lost{Reason: "another process has claimed ownership"})
+			e.applyChange(Lost{Reason: "another process has claimed ownership", epoch: epoch})
 			return ended
 		}
 		if e.StoreSilence() > ConfirmTimeout {
-			e.applyChange(Lost{Reason: "the store does not answer"})
+			e.applyChange(Lost{Reason: "the store does not answer", epoch: epoch})
 			return &TermEndedError{Epoch: epoch}
 		}
 		if err := e.Clock.Sleep(ctx, publishRetryDelay); err != nil {
