--- a/dispatch/question.go
+++ b/dispatch/question.go
@@ -18,7 +18,7 @@
 // Validities of answers.
 const (
 	validForGood  validity = "good"   // a later owner would answer the same
-	validRecently validity = "recent" // a later owner may answer otherwise; callers accept answers up to maxAnswerAge old
+	validRecently validity = "recent" // a later owner may answer otherwise; the answer may be up to maxAnswerAge old
 	validNow      validity = "now"    // only true if there is no later owner
 )
 
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -69,7 +69,7 @@
 			renewal.LeaseDeadline = d.extendLease(s, now)
 		}
 		return renewal, true
-	case s.hasNoRuns():
+	case s.isKnownIdle():
 		if now.Before(d.lateStarts[s.id]) && s.reportedEnd == s.ackedEnd {
 			renewal.MaxWait = maxReportDelay
 			return renewal, true
@@ -93,8 +93,8 @@
 	return maxReportDelay
 }
 
-// hasNoRuns reports whether nothing is known to run on the worker, and its incarnation has listed its runs.
-func (s *workerState) hasNoRuns() bool {
+// isKnownIdle reports whether the incarnation of the worker has listed its runs and nothing is known to run there.
+func (s *workerState) isKnownIdle() bool {
 	return len(s.runs) == 0 && len(s.orphanedRuns) == 0 && !s.runsListedAt.IsZero()
 }
 
--- a/dispatch/requests.go
+++ b/dispatch/requests.go
@@ -43,7 +43,7 @@
 	if j := d.jobs[id]; j != nil {
 		switch {
 		case j.Unsubmitted:
-			return nil, refusalReply("the job was cancelled before it was submitted", max(d.retentionLeft(j, now), openRetryDelay))
+			return nil, refusalReply("the job was cancelled before it was submitted", d.retryAfterCancel(j, now))
 		case j.stored:
 			return nil, &relay.Reply{Verdict: relay.Verdict_DONE}
 		}
@@ -66,6 +66,15 @@
 	return d.watchFirstWrite(j), nil
 }
 
+// retryAfterCancel returns when the submission of an unsubmitted job may be tried again: once its cancel is forgotten, or soon
+// if the store may not take the cancel.
+func (d *Dispatcher) retryAfterCancel(j *job, now time.Time) time.Duration {
+	if !j.stored {
+		return storeRetryDelay
+	}
+	return max(d.retentionLeft(j, now), openRetryDelay)
+}
+
 // refuseWrite returns a refusal if new jobs cannot be stored at present; nil if they can.
 func (d *Dispatcher) refuseWrite() *relay.Reply {
 	if d.draining {
@@ -148,6 +157,7 @@
 		if reply := d.refuseWrite(); reply != nil {
 			return nil, nil, reply
 		}
+		d.log.Info(eventUnknownJobCancelled, "job", id)
 		j = &job{Job: task.NewUnsubmitted(id, d.clock.Now())}
 		d.jobs[id] = j
 		return j, d.watchFirstWrite(j), nil
@@ -165,6 +175,6 @@
 
 // missingReply returns the reply to a request for a job that this owner does not know.
 func (d *Dispatcher) missingReply(id task.JobID, verb relay.Verb) *relay.Reply {
-	d.log.Info(eventJobMissing, "job", id, "verb", verb.String(), "confirmed", d.mayOrder())
+	d.log.Info(eventJobMissing, "job", id, "verb", verb.String())
 	return &relay.Reply{Verdict: relay.Verdict_MISSING}
 }
