--- a/election/confirmation.go
+++ b/election/confirmation.go
@@ -13,8 +13,8 @@
 }
 
 // Confirm returns nil once the store has answered a read of the claims that was sent after the call and shows no claim after
-// the term with the given epoch. Until the call, no later owner can have done anything then. IsConfirmed does not tell that:
-// a silent owner is replaced long before ConfirmTimeout has passed. Callers share reads.
+// the term with the given epoch. A later owner, if there is one, has then done nothing before the call. IsConfirmed does not
+// show that: a silent owner is replaced long before ConfirmTimeout has passed. Callers share reads.
 func (e *Elector) Confirm(ctx context.Context, epoch platform.Epoch) error {
 	c := e.joinConfirmation()
 	select {
