--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,7 +29,8 @@
 // scenarios returns the cases by name.
 func scenarios() map[string]scenario {
 	return map[string]scenario{
-		"ends":    runEnds,
+		"crash": runCrash,
+		"ends":  runEnds,
 	}
 }
 
