--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,8 +29,9 @@
 // scenarios returns the cases by name.
 func scenarios() map[string]scenario {
 	return map[string]scenario{
-		"crash": runCrash,
-		"ends":  runEnds,
+		"crash":  runCrash,
+		"ends":   runEnds,
+		"cancel": runCancel,
 	}
 }
 
