--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -31,7 +31,9 @@
 	return map[string]scenario{
 		"crash":  runCrash,
 		"ends":   runEnds,
+		"large":  runLarge,
 		"cancel": runCancel,
+		"gang":   runGang,
 	}
 }
 
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -34,6 +34,8 @@
 	callTimeout  = 3 * time.Second
 	retryPause   = 200 * time.Millisecond
 	acceptWithin = 30 * time.Second
+	// entryPorts is the number of addresses that an entry listens on: for callers, the readiness check and peers.
+	entryPorts = 3
 	// workerCPU is the capacity of a worker in thousandths of a core.
 	workerCPU = 16000
 )
@@ -62,15 +64,19 @@
 
 func newRig(rec *record) *rig { return &rig{rec: rec} }
 
-// freeAddress returns an address with a port that is free.
-func freeAddress(ip string) (string, error) {
+// freeAddresses returns addresses with ports that are free, all different.
+func freeAddresses(ip string, count int) ([]string, error) {
 	var config net.ListenConfig
-	listener, err := config.Listen(context.Background(), "tcp", ip+":0")
-	if err != nil {
-		return "", err
+	var addresses []string
+	for range count {
+		listener, err := config.Listen(context.Background(), "tcp", ip+":0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
 	}
-	address := listener.Addr().String()
-	return address, listener.Close()
+	return addresses, nil
 }
 
 // serve starts a stand-in and returns its address.
@@ -123,12 +129,11 @@
 func (r *rig) startEntry(ctx context.Context, index int) error {
 	pid := os.Getpid()
 	e := &entry{rig: r, name: fmt.Sprintf("edge-z1-%d", index+1), ip: fmt.Sprintf("127.%d.%d.%d", 10+pid/250%200, 1+pid%250, 10+index), ended: make(chan struct{})}
-	for _, address := range []*string{&e.callers, &e.ready, &e.peer} {
-		var err error
-		if *address, err = freeAddress(e.ip); err != nil {
-			return err
-		}
+	addresses, err := freeAddresses(e.ip, entryPorts)
+	if err != nil {
+		return err
 	}
+	e.callers, e.ready, e.peer = addresses[0], addresses[1], addresses[2]
 	data, _ := json.Marshal(e.values())
 	e.settings = filepath.Join(r.dir, e.name+".json")
 	const ownerOnly = 0o600
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -136,14 +136,14 @@
 
 // addWorker starts a worker on a new machine.
 func (f *fleet) addWorker(cpu int) (*worker, error) {
-	address, err := freeAddress(loopback)
+	addresses, err := freeAddresses(loopback, 1)
 	if err != nil {
 		return nil, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := len(f.workers) + 1
-	w := &worker{fleet: f, id: fmt.Sprintf("i-%010d", n), machine: fmt.Sprintf("m-%04d", n), address: address, cpu: cpu}
+	w := &worker{fleet: f, id: fmt.Sprintf("i-%010d", n), machine: fmt.Sprintf("m-%04d", n), address: addresses[0], cpu: cpu}
 	f.workers = append(f.workers, w)
 	return w, w.start()
 }
