--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,12 +29,11 @@
 // scenarios returns the cases by name.
 func scenarios() map[string]scenario {
 	return map[string]scenario{
-		"crash":   runCrash,
-		"ends":    runEnds,
-		"large":   runLarge,
-		"cancel":  runCancel,
-		"lasting": runLasting,
-		"gang":    runGang,
+		"ends":   runEnds,
+		"late":   runLate,
+		"large":  runLarge,
+		"cancel": runCancel,
+		"gang":   runGang,
 	}
 }
 
