--- a/review/rig/ends.go
+++ b/review/rig/ends.go
@@ -10,15 +10,15 @@
 const (
 	endsEntries  = 9
 	endsWorkers  = 3
-	endsJobs     = 20
-	endsTasks    = 96
+	endsJobs     = 24
+	endsTasks    = 100
 	endsFreeze   = 2500 * time.Millisecond
 	endsWithin   = 60 * time.Second
-	endsBody     = `{"spec":"5000 5800","steps":[{"count":%d,"cpu":25,"mem_mb":32,"estimate_ms":5400}]}`
+	endsBody     = `{"spec":"5000 5600","steps":[{"count":%d,"cpu":20,"mem_mb":32,"estimate_ms":5300}]}`
 	endsFirstEnd = 4900 * time.Millisecond
 )
 
-// runEnds hands in 20 jobs of 96 small tasks, which fill three workers with 640 tasks each. While the tasks end, the
+// runEnds hands in 24 jobs of 100 small tasks, which fill three workers with 800 tasks each. While the tasks end, the
 // machine that gives the orders is frozen, so that more ends wait at each worker than one answer lists.
 func runEnds(ctx context.Context, r *rig, trouble bool) ([]string, error) {
 	if err := r.start(ctx, endsEntries, endsWorkers); err != nil {
