dispatch: runs that a full list of ends leaves out are kept

Cause: a worker lists 500 ends at a time. A run that was neither among them nor running was taken for one that had ended without a result, and its task was placed again; the next report listed its end as done.

Change: a report with as many ends as it can list leaves missing runs as they are. The worker counts as settled or idle only once it has listed fewer ends, and a crash is attributed only then. The limit is applied by the owner, so that reports through carriers of earlier versions are covered too. The emulated worker lists 500 ends at a time as well.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -77,7 +77,7 @@
 // in a report that was requested at the given time. It waits for a later report if a run may have started after that.
 func (d *Dispatcher) attributeCrash(s *workerState, listed map[runID]bool, requestedAt, now time.Time) {
 	c := s.unattributedCrash
-	if c == nil {
+	if c == nil || s.hasMoreEnds {
 		return
 	}
 	ended := slices.Clone(c.ended)
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -93,9 +93,9 @@
 	return maxReportDelay
 }
 
-// isKnownIdle reports whether the incarnation of the worker has listed its runs and nothing is known to run there.
+// isKnownIdle reports whether the incarnation of the worker has listed its runs and ends and nothing is known to run there.
 func (s *workerState) isKnownIdle() bool {
-	return len(s.runs) == 0 && len(s.orphanedRuns) == 0 && !s.runsListedAt.IsZero()
+	return len(s.runs) == 0 && len(s.orphanedRuns) == 0 && !s.hasMoreEnds && !s.runsListedAt.IsZero()
 }
 
 // extendLease returns the new end of a worker's lease, or zero if the lease must not be extended: that of an unreachable
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -219,39 +219,30 @@
 
 // handleUnlistedRun handles a run that is missing from a report requested at the given time.
 func (d *Dispatcher) handleUnlistedRun(r *run, requestedAt, now time.Time) {
-	switch r.phase {
-	case phasePlanned, phaseStarting:
-		// The start order was not sent or is not answered yet.
-	case phaseRunning:
-		if r.hasEndedUnlisted(requestedAt) {
-			d.endLostRun(r, worker.CauseLeaseExpired, now)
-		}
-	case phaseUnconfirmed:
-		d.resolveUnconfirmedRun(r, requestedAt, now)
-	case phaseStopping:
-		if !r.stopConfirmedAt.IsZero() && r.stopConfirmedAt.Before(requestedAt) {
-			d.endLostRun(r, worker.CauseStopped, now)
-			return
-		}
+	cause, hasEnded := d.causeOfUnlistedEnd(r, requestedAt)
+	switch {
+	case hasEnded && r.worker.hasMoreEnds:
+		// A later report may list the end of the run, with its result.
+	case hasEnded:
+		d.endLostRun(r, cause, now)
+	case r.phase == phaseStopping, r.phase == phaseUnconfirmed && now.Sub(r.startSentAt) > startConfirmTimeout:
 		d.sendStop(r, now)
 	}
 }
 
-// resolveUnconfirmedRun handles a run with an unconfirmed start that is missing from a report. A run of an
-// earlier owner can no longer start, since the worker has seen the higher fencing token, and a run whose start was
-// confirmed around a restart has ended with the earlier incarnation; any other run of this term is stopped first.
-func (d *Dispatcher) resolveUnconfirmedRun(r *run, requestedAt, now time.Time) {
-	if r.id.number < d.firstRunNumber() || r.hasEndedUnlisted(requestedAt) {
-		d.endLostRun(r, worker.CauseLeaseExpired, now)
-		return
-	}
-	if !r.stopConfirmedAt.IsZero() && r.stopConfirmedAt.Before(requestedAt) {
-		d.endLostRun(r, worker.CauseStopped, now)
-		return
-	}
-	if now.Sub(r.startSentAt) > startConfirmTimeout {
-		d.sendStop(r, now)
-	}
+// causeOfUnlistedEnd returns why a run that is missing from a report requested at the given time has ended, and whether it
+// certainly has. A run of an earlier owner with an unconfirmed start can no longer start, since the worker has seen the
+// higher fencing token, and a run whose start was confirmed around a restart has ended with the earlier incarnation; any other
+// run whose start is not confirmed must be stopped first.
+func (d *Dispatcher) causeOfUnlistedEnd(r *run, requestedAt time.Time) (worker.Cause, bool) {
+	wasStopped := !r.stopConfirmedAt.IsZero() && r.stopConfirmedAt.Before(requestedAt)
+	switch {
+	case r.phase == phaseRunning, r.phase == phaseUnconfirmed && !wasStopped:
+		return worker.CauseLeaseExpired, r.hasEndedUnlisted(requestedAt) || r.phase == phaseUnconfirmed && r.id.number < d.firstRunNumber()
+	case r.phase == phaseUnconfirmed, r.phase == phaseStopping:
+		return worker.CauseStopped, wasStopped
+	}
+	return "", false // the start order was not sent or is not answered yet
 }
 
 // hasEndedUnlisted reports whether a run that is missing from a report requested at the given time has ended, because its
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -61,6 +61,8 @@
 	// passed to the ledger, storedEnd of the last that the ledger confirmed, and ackedEnd of the last that
 	// the worker was told to discard.
 	reportedEnd, submittedEnd, storedEnd, ackedEnd worker.EndNumber
+	// hasMoreEnds is set while the worker may hold ends that its last report did not list.
+	hasMoreEnds bool
 	// unreachableSince is when lease renewals began to fail; zero while they succeed.
 	unreachableSince time.Time
 	// orphanedRuns are the runs in the last report that the owner does not know, with the time of the last stop. The
@@ -104,10 +106,10 @@
 // placed.
 func (s *workerState) isOverCapacity() bool { return !s.registration.Capacity.CanFit(s.reserved) }
 
-// isSettled reports whether the worker has answered in this term, is not silent, and every end that it has reported is
-// stored. Otherwise an order for its machine may lose ends that no later owner knows of, and their tasks run again.
+// isSettled reports whether the worker has answered in this term, is not silent, and every end that it holds was reported and
+// is stored. Otherwise an order for its machine may lose ends that no later owner knows of, and their tasks run again.
 func (s *workerState) isSettled() bool {
-	return s.tokenAcknowledged && s.unreachableSince.IsZero() && s.storedEnd == s.reportedEnd
+	return s.tokenAcknowledged && s.unreachableSince.IsZero() && s.storedEnd == s.reportedEnd && !s.hasMoreEnds
 }
 
 // requestRenewal triggers a renewal without delay.
@@ -255,7 +257,7 @@
 	s.keepBesideSuccessor(sent)
 	s.lease.RecordClock(report.Clock, now)
 	firstReport := !s.tokenAcknowledged
-	s.tokenAcknowledged = true
+	s.tokenAcknowledged, s.hasMoreEnds = true, len(report.Ended) >= platform.MaxListedEnds
 	hasNewEnds := false
 	for _, end := range report.Ended {
 		if end.Number <= s.reportedEnd {
@@ -333,7 +335,7 @@
 		// Deadlines of the earlier incarnation's clock may exceed the longest lease on the new one's.
 		s.lease.HeldUntil = now.Add(d.timing.MaxLease + maxLeaseLifetime)
 	}
-	s.reportedEnd, s.submittedEnd, s.storedEnd, s.ackedEnd, s.orphanedRuns = 0, 0, 0, 0, nil
+	s.reportedEnd, s.submittedEnd, s.storedEnd, s.ackedEnd, s.hasMoreEnds, s.orphanedRuns = 0, 0, 0, 0, false, nil
 	for _, r := range uncertain {
 		if r.phase != phaseStopping {
 			r.phase = phaseUnconfirmed
--- a/standin/fabric/worker.go
+++ b/standin/fabric/worker.go
@@ -49,6 +49,8 @@
 	deadlySuffix = " crashes"
 	// checkpointsSuffix ends the specification of a job whose tasks save checkpoints.
 	checkpointsSuffix = " saves"
+	// maxListedEnds is the number of ends that a report lists at most.
+	maxListedEnds = 500
 	// crashDowntime is how long a worker is down after such a crash.
 	crashDowntime = 200 * time.Millisecond
 )
@@ -386,7 +388,8 @@
 	for _, active := range w.runs {
 		running = append(running, []any{active.task, active.number, w.platform.reportCheckpoint(active), 100, 0})
 	}
-	response := map[string]any{"born": w.startedAt.UnixMilli(), "clock_ms": w.clockMS(), "running": running, "ended": w.unacknowledgedEnds}
+	listed := w.unacknowledgedEnds[:min(len(w.unacknowledgedEnds), maxListedEnds)]
+	response := map[string]any{"born": w.startedAt.UnixMilli(), "clock_ms": w.clockMS(), "running": running, "ended": listed}
 	if w.unacknowledgedEnds == nil {
 		response["ended"] = [][]any{}
 	}
