dispatch: orders to a worker are not dropped

Cause: the queues of orders of a worker took 256 entries. A stop that found the queue full was dropped, but its run counted as told to stop. It was sent again after 0.5 s and 0.8 s for each stop in the queue, so that one repeated stop that waited held back all others. A start that found the queue full removed its run, also if the other members of its gang were being started.

Change: orderQueue has no limit. A run has at most one start, one stop and one change of speed in it. A stop counts as sent when it is sent, is not queued again while it waits, and is due again 0.5 s after it was sent, whatever else waits. The incarnation that a confirmed stop counts for is the one known when the stop is sent, not when it is queued. A dropped change of speed no longer counts as ordered.

Tests: dispatch TestStopsDroppedInLargeCancel and TestStartsDroppedInLargeGang, failed before (256 of 1,000). TestStopsHeldBack replaces the last line of TestStartsBehindStops, which asked for a longer interval while stops wait; it asks that a waiting stop is not queued again, and that one that was sent is.

--- a/dispatch/carriers.go
+++ b/dispatch/carriers.go
@@ -186,42 +186,61 @@
 	return client.RenewLease(callCtx, renewal)
 }
 
-// orderStart sends the start order of a run, and handles its result. It returns false if too many orders wait.
-func (d *Dispatcher) orderStart(r *run) bool {
+// orderStart sends the start order of a run, and handles its result.
+func (d *Dispatcher) orderStart(r *run) {
 	s := r.worker
 	via := d.carrierOf(s)
 	if via == nil {
-		return enqueueOrder(s.orders, func(ctx context.Context) { d.sendStart(ctx, r) })
+		s.orders.addOther(func(ctx context.Context) { d.sendStart(ctx, r) })
+		return
 	}
-	if order, ok := d.prepareStart(r); ok {
-		via.StartRun(order, orderTimeout, func(err error) {
+	if start, ok := d.prepareStart(r); ok {
+		via.StartRun(start, orderTimeout, func(err error) {
 			d.mu.Lock()
 			defer d.mu.Unlock()
 			d.avoidCarrier(s, err)
 			d.handleStartResult(r, s, err)
 		})
 	}
-	return true
 }
 
-// orderStop sends an order to stop a run. The handle function is called with the result; not if too many orders wait.
-func (d *Dispatcher) orderStop(s *workerState, id runID, handle func(error)) {
+// orderStop sends an order to stop a run and records its progress. The handle function is called under the lock with the
+// result and the incarnation of the worker that was known when the order was sent.
+func (d *Dispatcher) orderStop(s *workerState, id runID, stop *stopState, handle func(worker.Incarnation, error)) {
 	token := worker.FencingToken(d.epoch)
+	stop.pending = true
 	if via := d.carrierOf(s); via != nil {
-		via.StopRun(id.key, id.number, token, orderTimeout, handle)
+		incarnation := s.incarnation
+		stop.sentAt = d.clock.Now()
+		via.StopRun(id.key, id.number, token, orderTimeout, func(err error) {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			stop.pending = false
+			handle(incarnation, err)
+		})
 		return
 	}
-	enqueueOrder(s.stops, func(ctx context.Context) { handle(d.clientOf(s).StopRun(ctx, id.key, id.number, token)) })
+	s.orders.addStop(func(ctx context.Context) {
+		d.mu.Lock()
+		incarnation, client := s.incarnation, s.client
+		stop.sentAt = d.clock.Now()
+		d.mu.Unlock()
+		err := client.StopRun(ctx, id.key, id.number, token)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		stop.pending = false
+		handle(incarnation, err)
+	})
 }
 
-// orderSpeed sends an order to throttle a run. The handle function is called with the result; not if too many orders wait.
+// orderSpeed sends an order to throttle a run. The handle function is called with the result.
 func (d *Dispatcher) orderSpeed(s *workerState, id runID, percent int, handle func(error)) {
 	token := worker.FencingToken(d.epoch)
 	if via := d.carrierOf(s); via != nil {
 		via.SetSpeed(id.key, id.number, percent, token, orderTimeout, handle)
 		return
 	}
-	enqueueOrder(s.orders, func(ctx context.Context) { handle(d.clientOf(s).SetSpeed(ctx, id.key, id.number, percent, token)) })
+	s.orders.addOther(func(ctx context.Context) { handle(d.clientOf(s).SetSpeed(ctx, id.key, id.number, percent, token)) })
 }
 
 // clientOf returns the client of a worker at its present address, for a call that is sent without the lock.
--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -22,17 +22,14 @@
 	}
 }
 
-// stopOrphanedRuns stops the runs on a worker that the owner does not know. A stop is repeated while the run is listed, but
-// not for each report: many stops would delay the other orders.
+// stopOrphanedRuns stops the runs on a worker that the owner does not know. A stop is repeated while the run is listed.
 func (d *Dispatcher) stopOrphanedRuns(s *workerState, now time.Time) {
-	interval := s.stopInterval()
-	for id, stopSentAt := range s.orphanedRuns {
-		if now.Sub(stopSentAt) < interval {
+	for id, stop := range s.orphanedRuns {
+		if !stop.isDue(now) {
 			continue
 		}
-		s.orphanedRuns[id] = now
 		d.log.Info(eventOrphanedRun, "worker", s.id, "task", id.key.String(), "run", id.number)
-		d.orderStop(s, id, func(err error) {
+		d.orderStop(s, id, stop, func(_ worker.Incarnation, err error) {
 			if err != nil {
 				d.log.Debug(eventStopFailed, "worker", s.id, "task", id.key.String(), "run", id.number, "error", err)
 			}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -171,7 +171,7 @@
 
 // retryStop repeats a stop that was not confirmed.
 func (d *Dispatcher) retryStop(r *run, now time.Time) {
-	if r.phase == phaseStopping && r.stopConfirmedAt.IsZero() {
+	if r.phase == phaseStopping && r.stop.confirmedAt.IsZero() {
 		d.sendStop(r, now)
 	}
 }
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -50,12 +50,11 @@
 	// startSentAt is when the start order was sent or, if an earlier owner sent it, when this term began; in
 	// phasePlanned, when the run was placed. startConfirmedAt is when the start was confirmed.
 	startSentAt, startConfirmedAt time.Time
-	// stopSentAt is when a stop was last sent, stopConfirmedAt when the worker confirmed it. After that, a
-	// delayed start order can no longer start the run.
-	stopSentAt, stopConfirmedAt time.Time
+	stop                        stopState
 	// speedPercent is the share of full speed that was last ordered, lastMeasurement the worker.Run.Measurement
-	// that the worker last reported.
+	// that the worker last reported. speedPending is set while that order has no result.
 	speedPercent    int
+	speedPending    bool
 	lastMeasurement float64
 	// listedBy is the incarnation of the worker that has listed the run in a report; zero if none has.
 	listedBy worker.Incarnation
@@ -63,6 +62,19 @@
 	fullSpeedSince time.Time
 }
 
+// stopState is the progress of the orders to stop a run.
+type stopState struct {
+	// pending is set while an order is queued or has no result.
+	pending bool
+	// sentAt is when an order was last sent, confirmedAt when the worker confirmed one. After that, a delayed start order
+	// can no longer start the run.
+	sentAt, confirmedAt time.Time
+}
+
+// isDue reports whether a stop may be sent: none is pending, and the last one was sent some time ago. An order for each report
+// would delay those for other runs.
+func (s *stopState) isDue(now time.Time) bool { return !s.pending && now.Sub(s.sentAt) >= stopRetryInterval }
+
 // task returns the task that the run executes.
 func (r *run) task() *task.Task { return r.job.Task(r.id.key) }
 
@@ -87,8 +99,8 @@
 	}
 }
 
-// enqueueStart queues the start order of a run whose placement is stored. It removes the run if the order cannot
-// be sent or the job has ended.
+// enqueueStart queues the start order of a run whose placement is stored. It removes the run if the worker takes no orders or
+// the job has ended.
 func (d *Dispatcher) enqueueStart(r *run) {
 	s := r.worker
 	if r.phase != phasePlanned || d.runs[r.id] != r {
@@ -98,9 +110,7 @@
 		d.removeRun(r)
 		return
 	}
-	if !d.orderStart(r) {
-		d.removeRun(r)
-	}
+	d.orderStart(r)
 }
 
 // prepareStart returns the start order of a run and records that it is sent. If the run must no longer be started, it removes
@@ -235,7 +245,7 @@
 // higher fencing token, and a run whose start was confirmed around a restart has ended with the earlier incarnation; any other
 // run whose start is not confirmed must be stopped first.
 func (d *Dispatcher) causeOfUnlistedEnd(r *run, requestedAt time.Time) (worker.Cause, bool) {
-	wasStopped := !r.stopConfirmedAt.IsZero() && r.stopConfirmedAt.Before(requestedAt)
+	wasStopped := !r.stop.confirmedAt.IsZero() && r.stop.confirmedAt.Before(requestedAt)
 	switch {
 	case r.phase == phaseRunning, r.phase == phaseUnconfirmed && !wasStopped:
 		return worker.CauseLeaseExpired, r.hasEndedUnlisted(requestedAt) || r.phase == phaseUnconfirmed && r.id.number < d.firstRunNumber()
@@ -268,17 +278,13 @@
 	d.sendStop(r, now)
 }
 
-// sendStop sends a stop unless one was sent less than stopInterval ago.
+// sendStop orders the worker to stop a run, if a stop is due.
 func (d *Dispatcher) sendStop(r *run, now time.Time) {
 	s := r.worker
-	if s == nil || now.Sub(r.stopSentAt) < s.stopInterval() {
+	if s == nil || !r.stop.isDue(now) {
 		return
 	}
-	r.stopSentAt = now
-	incarnation := s.incarnation
-	d.orderStop(s, r.id, func(err error) {
-		d.mu.Lock()
-		defer d.mu.Unlock()
+	d.orderStop(s, r.id, &r.stop, func(incarnation worker.Incarnation, err error) {
 		if err == nil && s.incarnation != incarnation {
 			return // the start may still take effect on the new incarnation
 		}
@@ -287,7 +293,7 @@
 			d.log.Info(eventStopFailed, "task", r.id.key.String(), "run", r.id.number, "worker", s.id, "error", err)
 			return
 		}
-		r.stopConfirmedAt = d.clock.Now()
+		r.stop.confirmedAt = d.clock.Now()
 		s.requestRenewal()
 	})
 }
--- a/dispatch/speed.go
+++ b/dispatch/speed.go
@@ -47,21 +47,22 @@
 	}
 }
 
-// setSpeed orders a share of full speed for a best-effort task unless it is the share that was last ordered.
-// The latency ratio is only logged.
+// setSpeed orders a share of full speed for a best-effort task unless it is the share that was last ordered, or that order has
+// no result yet. The latency ratio is only logged.
 func (d *Dispatcher) setSpeed(s *workerState, r *run, percent int, ratio float64) {
-	if percent == r.speedPercent {
+	if percent == r.speedPercent || r.speedPending {
 		return
 	}
 	previous := r.speedPercent
-	r.speedPercent = percent
+	r.speedPercent, r.speedPending = percent, true
 	d.log.Info(eventSpeedChanged, "task", r.id.key.String(), "worker", s.id, "from", previous, "percent", percent, "ratio", ratio)
 	d.orderSpeed(s, r.id, percent, func(err error) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		r.speedPending = false
 		if err == nil {
 			return
 		}
-		d.mu.Lock()
-		defer d.mu.Unlock()
 		r.speedPercent = previous // the next report triggers another order
 		d.log.Info(eventSpeedFailed, "task", r.id.key.String(), "worker", s.id, "percent", percent, "error", err)
 	})
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -20,8 +20,6 @@
 	leaseDuration = 3500 * time.Millisecond
 	// orderTimeout limits an order. Workers answer at once and are a few milliseconds away.
 	orderTimeout = 400 * time.Millisecond
-	// maxQueuedOrders limits the number of orders queued for one worker.
-	maxQueuedOrders = 256
 	// suspectDuration is how long a worker is chosen last after it refused a task or did not answer the
 	// order to start one.
 	suspectDuration = 2 * time.Second
@@ -65,17 +63,17 @@
 	hasMoreEnds bool
 	// unreachableSince is when lease renewals began to fail; zero while they succeed.
 	unreachableSince time.Time
-	// orphanedRuns are the runs in the last report that the owner does not know, with the time of the last stop. The
-	// capacity that they use is unknown too, so the worker takes no tasks until they have ended.
-	orphanedRuns map[runID]time.Time
+	// orphanedRuns are the runs in the last report that the owner does not know. The capacity that they use is unknown
+	// too, so the worker takes no tasks until they have ended.
+	orphanedRuns map[runID]*stopState
 	// runsListedAt is when the worker last listed all its runs; zero if its incarnation has not.
 	runsListedAt time.Time
 	// suspectUntil is the time until which the worker is chosen last.
 	suspectUntil time.Time
 	// consecutiveFailures is the number of failed runs since the last successful one.
 	consecutiveFailures int
-	// orders are the queued orders, except stops, and stops the queued stops.
-	orders, stops   chan func(context.Context)
+	// orders are the orders that wait to be sent by the owner itself.
+	orders          orderQueue
 	renewalRequests chan struct{}
 	// session carries the calls to the worker while directUntil has passed (see carrierOf). It was assigned when the carriers
 	// had the version sessionVersion.
@@ -120,16 +118,6 @@
 	}
 }
 
-// enqueueOrder adds an order to one of the queues of a worker and reports whether the queue had space.
-func enqueueOrder(queue chan func(context.Context), order func(context.Context)) bool {
-	select {
-	case queue <- order:
-		return true
-	default:
-		return false
-	}
-}
-
 // rackLabel returns the label of a worker that names its rack: the last label with a hyphen or, if none has
 // one, the last of several labels.
 func rackLabel(labels []string) string {
@@ -151,8 +139,7 @@
 	s := &workerState{
 		id: registration.ID, incarnation: registration.Incarnation, registration: registration, rack: rackLabel(registration.Labels), runs: map[runID]*run{},
 		client: &platform.Worker{ID: registration.ID, Address: registration.Address, Client: d.workerClient},
-		orders: make(chan func(context.Context), maxQueuedOrders), stops: make(chan func(context.Context), maxQueuedOrders), renewalRequests: make(chan struct{}, 1), cancel: cancel,
-		idleSince: d.clock.Now(), incarnationKnownAt: d.clock.Now(),
+		renewalRequests: make(chan struct{}, 1), cancel: cancel, idleSince: d.clock.Now(), incarnationKnownAt: d.clock.Now(),
 	}
 	d.workers[registration.ID] = s
 	for _, r := range d.inheritedRuns[registration.Machine] {
@@ -201,46 +188,19 @@
 	}
 }
 
-// sendOrders sends the queued orders of a worker one after the other. An order that is not answered takes orderTimeout, so that
-// stops and other orders take turns: neither waits behind more than one of the others.
+// sendOrders sends the queued orders of a worker one after the other. An order that is not answered takes orderTimeout.
 func (d *Dispatcher) sendOrders(ctx context.Context, s *workerState) {
-	next, other := s.stops, s.orders
-	for ctx.Err() == nil {
-		order, isNext := takeOrder(ctx, next, other)
-		if order == nil {
+	for {
+		send := s.orders.take(ctx)
+		if send == nil {
 			return
 		}
 		callCtx, cancel := d.clock.WithTimeout(ctx, orderTimeout)
-		order(callCtx)
+		send(callCtx)
 		cancel()
-		if isNext {
-			next, other = other, next
-		}
-	}
-}
-
-// takeOrder waits for an order in one of two queues and prefers the first, as it reports. It returns nil once ctx has ended.
-func takeOrder(ctx context.Context, first, second chan func(context.Context)) (order func(context.Context), isFirst bool) {
-	select {
-	case order := <-first:
-		return order, true
-	default:
-	}
-	select {
-	case <-ctx.Done():
-		return nil, false
-	case order := <-first:
-		return order, true
-	case order := <-second:
-		return order, false
 	}
 }
 
-// stopInterval returns the time after which a stop that was not confirmed is sent again. By then it has left the queue.
-func (s *workerState) stopInterval() time.Duration {
-	return stopRetryInterval + time.Duration(2*len(s.stops))*orderTimeout
-}
-
 // applyReport processes a worker's status report, the response to a renewal that was sent at the given time.
 // It reports whether the report contained a new end.
 func (d *Dispatcher) applyReport(s *workerState, report worker.Report, sent, now time.Time) bool {
@@ -288,7 +248,7 @@
 // reconcileRuns compares the runs that a worker lists with those that the owner expects there.
 func (d *Dispatcher) reconcileRuns(s *workerState, report worker.Report, sent, now time.Time) {
 	listed := map[runID]bool{}
-	orphanedRuns := map[runID]time.Time{}
+	orphanedRuns := map[runID]*stopState{}
 	for _, reported := range report.Running {
 		id := runID{key: reported.Key, number: reported.Number}
 		listed[id] = true
@@ -296,7 +256,9 @@
 			d.applyRunReport(r, reported, now)
 			continue
 		}
-		orphanedRuns[id] = s.orphanedRuns[id]
+		if orphanedRuns[id] = s.orphanedRuns[id]; orphanedRuns[id] == nil {
+			orphanedRuns[id] = &stopState{}
+		}
 	}
 	s.orphanedRuns = orphanedRuns
 	d.stopOrphanedRuns(s, now)
@@ -340,7 +302,7 @@
 		if r.phase != phaseStopping {
 			r.phase = phaseUnconfirmed
 		}
-		r.stopSentAt, r.stopConfirmedAt = time.Time{}, time.Time{}
+		r.stop.sentAt, r.stop.confirmedAt = time.Time{}, time.Time{}
 	}
 	for _, r := range ended {
 		d.endLostRun(r, worker.CauseLeaseExpired, now)
