dispatch, task: the progress of a large job is stored in parts

All other jobs stood still and new ones were refused until the owner changed.

Cause: all progress of a job was one record. With 4,600 tasks running, their placements and checkpoints exceeded record_bytes (262,144). The store refused the append for its size, the ledger repeated it, and all other writes waited.

Change: the progress of a job with more than 64 tasks, over all its occurrences, is stored in parts of 64 tasks, of which only changed ones are written, in writes of 32 KB. Each task lies in one part, starts are sent and ends are acknowledged once all parts are stored, and the final state is written before the parts are deleted, so that any prefix of the writes is a valid state. Tasks of such a job are placed after its submission is stored, because the first write may be withdrawn. A submission larger than a record is answered as malformed, not with 503 and a time to retry; a job whose part is larger fails alone, and checkpoints of more than 2 KB are not kept. record_bytes comes from the settings.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -88,6 +88,8 @@
 	// itself.
 	members          func() []carrier.Member
 	maxDirectWorkers float64
+	// maxRecordBytes is the size of the largest record that the store accepts.
+	maxRecordBytes int
 	// handedOver is set if the previous owner resigned in favour of this process.
 	handedOver bool
 	// termStart is when the term began.
@@ -207,6 +209,8 @@
 	pendingWrites int
 	// withdrawn is set when the job was dropped because the store did not take it; its caller is refused.
 	withdrawn bool
+	// partHashes are the hashes of the parts of the progress as they were last passed to the ledger, by number.
+	partHashes map[int]uint64
 	// writeCallbacks are called with the result of the next write of the job.
 	writeCallbacks []func(error)
 	// activeRuns is the number of the job's runs in Dispatcher.runs.
@@ -255,6 +259,8 @@
 	Log       event.Log
 	Config    *queue.Config
 	Ownership Ownership
+	// MaxRecordBytes is settings.Deployment.StoreRecordBytes.
+	MaxRecordBytes int
 	// Cores is the number of processor cores that the process may use; zero means one.
 	Cores float64
 	// DirectWorkers is settings.Deployment.DirectWorkers.
@@ -275,6 +281,9 @@
 	if o.DirectWorkers <= 0 {
 		o.DirectWorkers = settings.DefaultDirectWorkers
 	}
+	if o.MaxRecordBytes <= 0 {
+		o.MaxRecordBytes = settings.DefaultStoreRecordBytes
+	}
 	if o.Members == nil {
 		o.Members = func() []carrier.Member { return nil }
 	}
@@ -283,7 +292,7 @@
 		namedPools[p.Name] = true
 	}
 	return &Dispatcher{
-		cores: o.Cores, members: o.Members, maxDirectWorkers: o.DirectWorkers * o.Cores, namedPools: namedPools,
+		maxRecordBytes: o.MaxRecordBytes, cores: o.Cores, members: o.Members, maxDirectWorkers: o.DirectWorkers * o.Cores, namedPools: namedPools,
 		store: o.Store, fleet: o.Fleet, advisor: o.Advisor, workerClient: o.Workers, timing: o.Timing, clock: o.Clock, log: o.Log, epoch: gained.Epoch, handedOver: gained.Departure == election.DepartureResigned, partition: gained.Partition, ownership: o.Ownership, inheritedRunTimeout: inheritedRunTimeout,
 		termStart: o.Clock.Now(), ctx: ctx, cycleRequests: make(chan struct{}, 1), restored: make(chan struct{}), config: o.Config,
 		jobs: map[task.JobID]*job{}, workers: map[worker.ID]*workerState{}, registrations: map[worker.ID]worker.Registration{},
--- a/dispatch/error.go
+++ b/dispatch/error.go
@@ -23,10 +23,11 @@
 // Outcome implements failure.Coded.
 func (e *UnnamedPoolError) Outcome() failure.Outcome { return failure.OutcomeNotRun }
 
-// UnencodableJobError reports a job that cannot be encoded for the ledger and therefore never runs.
+// UnencodableJobError reports a job that cannot be encoded for the ledger, or only in records that the store does not accept. A new
+// job is rejected then, another one fails.
 type UnencodableJobError struct{ Job task.JobID }
 
-func (e *UnencodableJobError) Error() string { return "job " + string(e.Job) + " cannot be encoded" }
+func (e *UnencodableJobError) Error() string { return "job " + string(e.Job) + " cannot be stored" }
 
 // Code implements failure.Coded.
 func (e *UnencodableJobError) Code() failure.Code { return failure.CodeInvalid }
--- a/dispatch/pending.go
+++ b/dispatch/pending.go
@@ -39,6 +39,9 @@
 
 // addPendingSteps adds the steps of a job that have waiting tasks to its pending steps.
 func (d *Dispatcher) addPendingSteps(j *job, now time.Time) {
+	if !j.stored && j.PartCount() > 0 {
+		return // the first write must be small, since it may be withdrawn
+	}
 	for k := range j.Spec.OccurrenceCount() {
 		if j.Spec.RepeatCount > 0 && now.Before(j.Spec.DueTime(k)) {
 			break
--- a/dispatch/persistence.go
+++ b/dispatch/persistence.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"hibiscuslane.example/hibiscuslane/ledger"
 	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/queue"
@@ -14,15 +18,15 @@
 )
 
 const (
-	// keySeparator separates the kind of a ledger key from the id. A job is stored under two keys: its
-	// submission and its progress.
+	// keySeparator separates the kind of a ledger key from the id. A job is stored under two keys, its submission and the main
+	// record of its progress, and one more for each part of the progress (see task.Job.PartCount).
 	keySeparator        = "/"
 	submissionKeyPrefix = "job/"
 	progressKeyPrefix   = "run/"
+	partKeyPrefix       = "part/"
 	// retentionMargin is added to StatusRetention before an ended job is deleted.
 	retentionMargin = 30 * time.Second
-	// maxWriteBytes is the size at which no further job is added to a write of changed jobs. The ledger does not split
-	// a write.
+	// maxWriteBytes is the size at which nothing more is added to a write of changed jobs. The ledger does not split a write.
 	maxWriteBytes = 32 << 10
 	// maxDropsPerWrite limits the number of ended jobs that one write deletes, with recordsPerDrop records each.
 	maxDropsPerWrite = 200
@@ -98,27 +102,23 @@
 // writeChanges writes the progress of jobs, and acknowledges the run ends once all of it is stored.
 func (d *Dispatcher) writeChanges(jobs []*job, acks []endAck) {
 	d.changesPending = true
-	for len(jobs) > 0 {
-		var records []platform.Record
-		n, size := 0, 0
-		for n < len(jobs) && size < maxWriteBytes {
-			j := jobs[n]
-			j.dirty = false
-			j.pendingWrites++
-			for _, r := range d.changedRecords(j) {
-				records = append(records, r)
-				size += len(r.Key) + len(r.Value)
-			}
-			n++
+	var records []platform.Record
+	var written []*job
+	for i, j := range jobs {
+		j.dirty = false
+		j.pendingWrites++
+		written = append(written, j)
+		records = append(records, d.writeAllButLast(d.changedRecords(j))...)
+		if i+1 < len(jobs) && sizeOf(records) < maxWriteBytes {
+			continue
 		}
-		written := jobs[:n:n]
-		jobs = jobs[n:]
-		callbacks := takeWriteCallbacks(written)
+		done, callbacks := written, takeWriteCallbacks(written)
 		d.ledger.Write(records, func(err error) {
 			d.mu.Lock()
 			defer d.mu.Unlock()
-			d.handleWriteResult(written, callbacks, err)
+			d.handleWriteResult(done, callbacks, err)
 		})
+		records, written = nil, nil
 	}
 	// A write without records is confirmed once all earlier writes are stored.
 	d.ledger.Write(nil, func(err error) {
@@ -135,6 +135,29 @@
 	})
 }
 
+// writeAllButLast writes records of a job until less than maxWriteBytes is left, and returns the rest. Each task lies in one record,
+// so that a later owner can read a state of which only the first writes are stored; the ends in it are not acknowledged.
+func (d *Dispatcher) writeAllButLast(records []platform.Record) []platform.Record {
+	first, size := 0, 0
+	for i, r := range records {
+		size += r.Size()
+		if size >= maxWriteBytes && i+1 < len(records) {
+			d.ledger.Write(records[first:i+1], nil)
+			first, size = i+1, 0
+		}
+	}
+	return records[first:]
+}
+
+// sizeOf returns the number of bytes that the store counts for records.
+func sizeOf(records []platform.Record) int {
+	size := 0
+	for _, r := range records {
+		size += r.Size()
+	}
+	return size
+}
+
 // takeWriteCallbacks returns and clears the callbacks for the next write of the jobs.
 func takeWriteCallbacks(jobs []*job) []func(error) {
 	var callbacks []func(error)
@@ -163,7 +186,8 @@
 func (d *Dispatcher) writeNewJob(j *job) {
 	records := d.changedRecords(j)
 	callbacks := takeWriteCallbacks([]*job{j})
-	if len(records) == 0 {
+	if len(records) == 0 || !d.canStore(records) {
+		d.log.Info(eventEncodeFailed, "job", j.ID, "bytes", sizeOf(records))
 		d.withdrawJob(j)
 		d.handleWriteResult([]*job{j}, callbacks, &ledger.NotStoredError{Cause: &UnencodableJobError{Job: j.ID}})
 		return
@@ -196,29 +220,91 @@
 // the write of that submission follows and replaces it.
 func (d *Dispatcher) deleteIfWithdrawn(j *job) {
 	if j.withdrawn && d.jobs[j.ID] == nil {
-		d.ledger.Write(deletionOf(j.ID), nil)
+		d.ledger.Write(deletionOf(j.ID), nil) // a job has no parts before it is stored
 	}
 }
 
-// deletionOf returns the records that delete a job.
+// deletionOf returns the records that delete a job without parts.
 func deletionOf(id task.JobID) []platform.Record {
 	return []platform.Record{{Key: submissionKeyPrefix + string(id)}, {Key: progressKeyPrefix + string(id)}}
 }
 
 // changedRecords returns the ledger records to write for a job. The first call includes the submission; for
-// a job that has ended, the submission is deleted.
+// a job that has ended, the submission and the parts are deleted.
 func (d *Dispatcher) changedRecords(j *job) []platform.Record {
-	withSubmission := !j.submissionQueued
+	isNew := !j.submissionQueued
 	j.submissionQueued = true
-	records, ok := d.encodeJob(j, withSubmission)
-	if ok && j.Outcome != "" {
+	records, ok := d.encodeJob(j, isNew)
+	if !ok {
+		return records
+	}
+	if j.Outcome != "" {
 		records = append(records, platform.Record{Key: submissionKeyPrefix + string(j.ID)})
+		for n := range j.partHashes {
+			records = append(records, platform.Record{Key: partKey(j.ID, n)})
+		}
+		j.partHashes = nil
+		return records
+	}
+	records = append(d.changedParts(j), records...) // the main record of an earlier version holds all progress
+	if isNew || d.canStore(records) {
+		return records
+	}
+	d.log.Error(eventEncodeFailed, "job", j.ID, "error", &UnencodableJobError{Job: j.ID})
+	d.finishJob(j, task.StateFailed, d.clock.Now())
+	d.saveAndCloseIfEnded(j)
+	return d.changedRecords(j)
+}
+
+// canStore reports whether the store accepts records of this size.
+func (d *Dispatcher) canStore(records []platform.Record) bool {
+	return !slices.ContainsFunc(records, func(r platform.Record) bool {
+		return r.Size() > d.maxRecordBytes
+	})
+}
+
+func partKey(id task.JobID, n int) string {
+	return partKeyPrefix + string(id) + keySeparator + strconv.Itoa(n)
+}
+
+// changedParts returns the parts of the progress that differ from what was last passed to the ledger, and takes them for passed.
+func (d *Dispatcher) changedParts(j *job) []platform.Record {
+	var records []platform.Record
+	for n := range j.PartCount() {
+		data, ok := d.encodePart(j, n)
+		hash, known := j.partHashes[n]
+		if !ok || !known && len(data) == 0 || known && hash == xxhash.Sum64(data) {
+			continue
+		}
+		j.recordPart(n, data)
+		records = append(records, platform.Record{Key: partKey(j.ID, n), Value: data})
 	}
 	return records
 }
 
-// encodeJob returns the ledger records of a job, with or without its submission, which an unsubmitted job does not have. It
-// returns false if a part could not be encoded.
+// recordPart records a part that was passed to the ledger, where no data deletes it, or was read from it.
+func (j *job) recordPart(n int, data []byte) {
+	if len(data) == 0 {
+		delete(j.partHashes, n)
+		return
+	}
+	if j.partHashes == nil {
+		j.partHashes = map[int]uint64{}
+	}
+	j.partHashes[n] = xxhash.Sum64(data)
+}
+
+// encodePart returns a part of the progress of a job, and false if it could not be encoded.
+func (d *Dispatcher) encodePart(j *job, n int) ([]byte, bool) {
+	data, err := j.EncodePart(n)
+	if err != nil {
+		d.log.Error(eventEncodeFailed, "job", j.ID, "part", n, "error", err)
+	}
+	return data, err == nil
+}
+
+// encodeJob returns the submission of a job, if wanted, which an unsubmitted job does not have, and the main record of its
+// progress. It returns false if one of them could not be encoded.
 func (d *Dispatcher) encodeJob(j *job, withSubmission bool) ([]platform.Record, bool) {
 	var records []platform.Record
 	if withSubmission && !j.Unsubmitted {
@@ -250,6 +336,7 @@
 			isEnded := j.Outcome != "" && j.isDurable()
 			jobRecords, _ := d.encodeJob(j, !isEnded) // encodeJob logs failures
 			records = append(records, jobRecords...)
+			records = append(records, d.allParts(j)...)
 		}
 	}
 	for _, w := range d.maintenance.waves {
@@ -263,6 +350,20 @@
 	return records
 }
 
+// allParts returns the parts of the progress of a job that has not ended.
+func (d *Dispatcher) allParts(j *job) []platform.Record {
+	if j.Outcome != "" {
+		return nil
+	}
+	var records []platform.Record
+	for n := range j.PartCount() {
+		if data, ok := d.encodePart(j, n); ok && len(data) > 0 {
+			records = append(records, platform.Record{Key: partKey(j.ID, n), Value: data})
+		}
+	}
+	return records
+}
+
 // PublishPartition records the new partition of the ledger. It implements ledger.PartitionOwner.
 func (d *Dispatcher) PublishPartition(ctx context.Context, partition int) error {
 	return d.ownership.PublishPartition(ctx, d.epoch, partition)
@@ -286,7 +387,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ledgerOpenedAt = d.clock.Now()
-	submissions, progress := map[task.JobID][]byte{}, map[task.JobID][]byte{}
+	submissions, progress, parts := map[task.JobID][]byte{}, map[task.JobID][]byte{}, map[task.JobID]map[int][]byte{}
 	for _, r := range records {
 		kind, id, _ := strings.Cut(r.Key, keySeparator)
 		switch {
@@ -295,33 +396,70 @@
 			submissions[task.JobID(id)] = r.Value
 		case kind+keySeparator == progressKeyPrefix:
 			progress[task.JobID(id)] = r.Value
+		case kind+keySeparator == partKeyPrefix:
+			d.addPart(parts, id, r.Value)
 		case kind+keySeparator == waveKeyPrefix:
 			d.restoreWave(r.Value)
 		case kind+keySeparator == orderKeyPrefix:
 			d.restoreOrderRecord(worker.MachineID(id), string(r.Value), d.ledgerOpenedAt)
 		}
 	}
-	d.restoreJobs(submissions, progress)
+	d.restoreJobs(submissions, progress, parts)
 	d.startOwnerTime()
 	d.ledger = l
+	d.deleteOrphanedParts(parts)
 	close(d.restored)
 	d.log.Info(eventTermBegan, "epoch", d.epoch, "jobs", len(d.jobs), "open", len(d.openJobs), "runs", len(d.runs))
 	d.requestCycle()
 }
 
+// addPart adds a stored part, whose key without the prefix is given, to those of its job.
+func (d *Dispatcher) addPart(parts map[task.JobID]map[int][]byte, key string, data []byte) {
+	id, number, _ := strings.Cut(key, keySeparator)
+	n, err := strconv.Atoi(number)
+	if err != nil {
+		d.log.Error(eventDecodeFailed, "job", id, "error", err)
+		return
+	}
+	if parts[task.JobID(id)] == nil {
+		parts[task.JobID(id)] = map[int][]byte{}
+	}
+	parts[task.JobID(id)][n] = data
+}
+
+// deleteOrphanedParts deletes the parts of jobs that have ended: the earlier owner may have failed between the writes of the final
+// state and of the deletions.
+func (d *Dispatcher) deleteOrphanedParts(parts map[task.JobID]map[int][]byte) {
+	var records []platform.Record
+	for id, ofJob := range parts {
+		if j := d.jobs[id]; j != nil && j.Outcome == "" {
+			continue
+		}
+		for n := range ofJob {
+			records = append(records, platform.Record{Key: partKey(id, n)})
+		}
+	}
+	if rest := d.writeAllButLast(records); len(rest) > 0 {
+		d.ledger.Write(rest, nil)
+	}
+}
+
 // restoreJobs restores the stored jobs. Jobs without a submission have ended.
-func (d *Dispatcher) restoreJobs(submissions, progress map[task.JobID][]byte) {
+func (d *Dispatcher) restoreJobs(submissions, progress map[task.JobID][]byte, parts map[task.JobID]map[int][]byte) {
 	for id, data := range submissions {
 		restored, err := task.ParseSubmission(id, data)
 		if err == nil && progress[id] != nil {
-			err = restored.RestoreProgress(progress[id])
+			err = restored.RestoreProgress(progress[id], slices.Collect(maps.Values(parts[id]))...)
 		}
 		delete(progress, id)
 		if err != nil {
 			d.log.Error(eventDecodeFailed, "job", id, "error", err)
 			continue
 		}
-		d.restoreJob(restored)
+		j := d.restoreJob(restored)
+		for n, data := range parts[id] {
+			j.recordPart(n, data)
+		}
 	}
 	for id, data := range progress {
 		ended, err := task.ParseEndedJob(id, data)
@@ -334,7 +472,7 @@
 }
 
 // restoreJob adds a stored job and the runs that earlier owners ordered for it.
-func (d *Dispatcher) restoreJob(restored *task.Job) {
+func (d *Dispatcher) restoreJob(restored *task.Job) *job {
 	policy := restored.Policy
 	j := &job{Job: restored, stored: true, submissionQueued: true, queue: queue.Queue{
 		Name: queue.Name(restored.Queue), Pool: restored.Pool, MaxAttempts: policy.MaxAttempts, Priority: policy.Priority,
@@ -342,7 +480,7 @@
 	}}
 	d.jobs[j.ID] = j
 	if j.Outcome != "" {
-		return
+		return j
 	}
 	d.applyQueueConfig(j)
 	d.namedPools[j.Pool] = true
@@ -358,6 +496,7 @@
 			}
 		}
 	}
+	return j
 }
 
 // insertOpenJob adds a job to the open jobs, ordered by time of acceptance.
--- a/dispatch/requests.go
+++ b/dispatch/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/ledger"
@@ -92,7 +93,10 @@
 // watchFirstWrite returns a channel that receives the result of the first write of a new job.
 func (d *Dispatcher) watchFirstWrite(j *job) <-chan error {
 	result := d.watchWrite(j)
-	j.writeCallbacks = append(j.writeCallbacks, func(err error) { j.stored = err == nil })
+	j.writeCallbacks = append(j.writeCallbacks, func(err error) {
+		j.stored = err == nil
+		j.forgetPendingSteps() // the tasks of a job with parts wait for that
+	})
 	return result
 }
 
@@ -112,9 +116,12 @@
 func (d *Dispatcher) awaitWrite(ctx context.Context, result <-chan error) *relay.Reply {
 	select {
 	case err := <-result:
+		var unencodable *UnencodableJobError
 		switch {
 		case err == nil:
 			return &relay.Reply{Verdict: relay.Verdict_DONE}
+		case errors.As(err, &unencodable):
+			return &relay.Reply{Verdict: relay.Verdict_INVALID, Reason: err.Error()}
 		case ledger.IsNotStored(err):
 			return refusalReply(err.Error(), storeRetryDelay)
 		}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -50,7 +50,7 @@
 	// startSentAt is when the start order was sent or, if an earlier owner sent it, when this term began; in
 	// phasePlanned, when the run was placed. startConfirmedAt is when the start was confirmed.
 	startSentAt, startConfirmedAt time.Time
-	stop                        stopState
+	stop                          stopState
 	// speedPercent is the share of full speed that was last ordered, lastMeasurement the worker.Run.Measurement
 	// that the worker last reported. speedPending is set while that order has no result.
 	speedPercent    int
@@ -73,7 +73,9 @@
 
 // isDue reports whether a stop may be sent: none is pending, and the last one was sent some time ago. An order for each report
 // would delay those for other runs.
-func (s *stopState) isDue(now time.Time) bool { return !s.pending && now.Sub(s.sentAt) >= stopRetryInterval }
+func (s *stopState) isDue(now time.Time) bool {
+	return !s.pending && now.Sub(s.sentAt) >= stopRetryInterval
+}
 
 // task returns the task that the run executes.
 func (r *run) task() *task.Task { return r.job.Task(r.id.key) }
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -138,7 +138,7 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	s := &workerState{
 		id: registration.ID, incarnation: registration.Incarnation, registration: registration, rack: rackLabel(registration.Labels), runs: map[runID]*run{},
-		client: &platform.Worker{ID: registration.ID, Address: registration.Address, Client: d.workerClient},
+		client:          &platform.Worker{ID: registration.ID, Address: registration.Address, Client: d.workerClient},
 		renewalRequests: make(chan struct{}, 1), cancel: cancel, idleSince: d.clock.Now(), incarnationKnownAt: d.clock.Now(),
 	}
 	d.workers[registration.ID] = s
--- a/settings/deployment.go
+++ b/settings/deployment.go
@@ -11,6 +11,9 @@
 // callers than the processor time that a carrier saves.
 const DefaultDirectWorkers = 300
 
+// DefaultStoreRecordBytes is the default of Deployment.StoreRecordBytes.
+const DefaultStoreRecordBytes = 256 << 10
+
 // Deployment holds the settings of an entry on the users' platform, which provides them.
 type Deployment struct {
 	ID     instance.ID
@@ -21,6 +24,8 @@
 	// StoreAddress, FleetAddress and AdvisorAddress are the addresses of services of the platform.
 	// AdvisorAddress is empty if there is no advisor.
 	StoreAddress, FleetAddress, AdvisorAddress instance.Address
+	// StoreRecordBytes is the size of the largest record that the store accepts; zero means DefaultStoreRecordBytes.
+	StoreRecordBytes int
 	// Cores is the processor capacity that the process may use, in ordinary cores; it may be less than one.
 	Cores float64
 	// MemoryBytes is the memory that the process may use; zero if it is not known.
--- a/task/checkpoint.go
+++ b/task/checkpoint.go
@@ -1,14 +1,14 @@
 package task
 
 // RecordCheckpoint records a checkpoint that a run of a task has reported, and returns false if it must not be used: the
-// step saves none, or a later run has reported one. The checkpoint of any member of a gang is valid for the whole gang, so
+// step saves none, a later run has reported one, or it is too long to be stored. The checkpoint of any member of a gang is valid for the whole gang, so
 // the latest one replaces those of all members.
 func (j *Job) RecordCheckpoint(key Key, run RunNumber, checkpoint Checkpoint) bool {
 	t := j.Task(key)
 	if checkpoint == "" || t == nil {
 		return true
 	}
-	if !j.Spec.Steps[key.Step].WritesCheckpoints || run < t.CheckpointRun {
+	if !j.Spec.Steps[key.Step].WritesCheckpoints || run < t.CheckpointRun || len(checkpoint) > maxCheckpointBytes {
 		return false
 	}
 	isNew := checkpoint != t.Checkpoint
--- a/task/record.go
+++ b/task/record.go
@@ -91,13 +91,16 @@
 	Machine     string `json:"machine,omitempty"`
 }
 
-// stepRecord is the stored progress of a step.
+// stepRecord is the stored progress of a step, or of some of its tasks.
 type stepRecord struct {
 	Step int `json:"step"`
+	// From and To are the index of the first task and that after the last one. If To is zero, the record covers all tasks.
+	From int `json:"from,omitempty"`
+	To   int `json:"to,omitempty"`
 	// DoneBits has one bit for each task, which is set if the task is done. It is empty if none or all are done.
 	DoneBits []byte `json:"done,omitempty"`
 	AllDone  bool   `json:"all,omitempty"`
-	// Checkpoint is that of a gang.
+	// Checkpoint is that of a gang. It is stored with the first task.
 	Checkpoint Checkpoint `json:"saved,omitempty"`
 	// Workers are the workers to which the placements of Tasks refer.
 	Workers []workerRecord `json:"at,omitempty"`
@@ -144,15 +147,16 @@
 	Occurrences []occurrenceRecord `json:"passes,omitempty"`
 }
 
-// EncodeProgress returns the stored form of the progress of a job. For a job that has ended, it leaves
-// out the occurrences; ParseEndedJob decodes it without the submission.
+// EncodeProgress returns the main record of the progress of a job. It leaves out the occurrences if they are stored in parts
+// or the job has ended; in the latter case, ParseEndedJob decodes it without the submission.
 func (j *Job) EncodeProgress() ([]byte, error) {
 	record := progressRecord{Outcome: j.Outcome, Started: j.Started, Unsubmitted: j.Unsubmitted}
 	if j.Outcome != "" {
 		record.EndedAt, record.KeptSince = j.EndedAt.UnixMilli(), time.Duration(j.KeptSince).Milliseconds()
-	} else {
+	} else if j.PartCount() == 0 {
+		perOccurrence := j.Spec.taskCount()
 		for number, occurrence := range j.Occurrences {
-			record.Occurrences = append(record.Occurrences, occurrence.toRecord(number))
+			record.Occurrences = append(record.Occurrences, occurrence.toRecord(number, 0, perOccurrence))
 		}
 	}
 	data, err := json.Marshal(record)
@@ -162,48 +166,63 @@
 	return data, nil
 }
 
-// toRecord returns the stored form of the occurrence with the given number.
-func (o *Occurrence) toRecord(number int) occurrenceRecord {
-	r := occurrenceRecord{Number: number, AllDone: o.OpenTasks == 0}
-	if r.AllDone {
-		return r
-	}
+// toRecord returns the stored form of some tasks of the occurrence with the given number: those from an index up to, and
+// without, another one, counted through all steps.
+func (o *Occurrence) toRecord(number, from, to int) occurrenceRecord {
+	r := occurrenceRecord{Number: number}
+	offset := 0
 	for i := range o.Steps {
-		if s, ok := o.Steps[i].toRecord(i); ok {
-			r.Steps = append(r.Steps, s)
+		count := len(o.Steps[i].Tasks)
+		if first, end := max(from-offset, 0), min(to-offset, count); first < end {
+			if s, ok := o.Steps[i].toRecord(i, first, end); ok {
+				r.Steps = append(r.Steps, s)
+			}
 		}
+		offset += count
+	}
+	if o.OpenTasks == 0 && from == 0 && to == offset {
+		r.AllDone, r.Steps = true, nil
 	}
 	return r
 }
 
 const bitsPerByte = 8
 
-// toRecord returns the stored form of the step with the given index, and whether it has any progress to store.
-func (p *StepProgress) toRecord(index int) (stepRecord, bool) {
-	r := stepRecord{Step: index, AllDone: p.DoneCount == len(p.Tasks)}
-	if p.DoneCount > 0 && !r.AllDone {
-		r.DoneBits = make([]byte, (len(p.Tasks)+bitsPerByte-1)/bitsPerByte)
+// toRecord returns the stored form of the tasks in a range of the step with the given index, and whether they have any progress
+// to store.
+func (p *StepProgress) toRecord(index, from, to int) (stepRecord, bool) {
+	r := stepRecord{Step: index}
+	if from > 0 || to < len(p.Tasks) {
+		r.From, r.To = from, to
+	}
+	tasks, done := p.Tasks[from:to], 0
+	doneBits := make([]byte, (len(tasks)+bitsPerByte-1)/bitsPerByte)
+	for i := range tasks {
+		if tasks[i].Done {
+			done++
+			doneBits[i/bitsPerByte] |= 1 << (i % bitsPerByte)
+		}
+	}
+	r.AllDone = done == len(tasks)
+	if done > 0 && !r.AllDone {
+		r.DoneBits = doneBits
 	}
-	if !r.AllDone {
+	if from == 0 && !r.AllDone {
 		r.Checkpoint = p.Checkpoint
 	}
-	for i := range p.Tasks {
-		t := &p.Tasks[i]
-		if t.Done && r.DoneBits != nil {
-			r.DoneBits[i/bitsPerByte] |= 1 << (i % bitsPerByte)
-		}
-		if record, ok := r.toTaskRecord(i, t); ok {
+	for i := range tasks {
+		if record, ok := r.toTaskRecord(from+i, &tasks[i], p.Checkpoint != ""); ok {
 			r.Tasks = append(r.Tasks, record)
 		}
 	}
-	return r, r.AllDone || r.DoneBits != nil || len(r.Tasks) > 0 || r.Checkpoint != ""
+	return r, done > 0 || len(r.Tasks) > 0 || r.Checkpoint != ""
 }
 
 // toTaskRecord returns the stored form of the task with the given index, and whether it has any progress to store beyond
-// being done.
-func (r *stepRecord) toTaskRecord(index int, t *Task) (taskRecord, bool) {
+// being done. The checkpoint of a gang replaces those of its tasks.
+func (r *stepRecord) toTaskRecord(index int, t *Task, hasGangCheckpoint bool) (taskRecord, bool) {
 	record := taskRecord{Index: index, FailedRuns: t.FailedRuns, Crashes: t.Crashes, LoneCrashes: t.LoneCrashes, FailedWorkers: t.FailedWorkers}
-	if r.Checkpoint == "" {
+	if !hasGangCheckpoint {
 		record.Checkpoint = t.Checkpoint
 	}
 	if t.Done || len(t.Placements) == 0 && t.FailedRuns == 0 && t.Crashes == 0 && record.Checkpoint == "" {
@@ -215,23 +234,19 @@
 	return record, true
 }
 
-// RestoreProgress applies the stored progress to a job that has no progress yet.
-func (j *Job) RestoreProgress(data []byte) error {
+// RestoreProgress applies the main record of the progress, and the parts, to a job that has no progress yet.
+func (j *Job) RestoreProgress(data []byte, parts ...[]byte) error {
 	var record progressRecord
 	if err := json.Unmarshal(data, &record); err != nil {
 		return &RecordError{ID: j.ID, Cause: err}
 	}
-	for _, r := range record.Occurrences {
-		if r.Number < 0 || r.Number >= j.Spec.OccurrenceCount() {
-			continue
-		}
-		occurrence := j.Occurrence(r.Number)
-		if r.AllDone {
-			j.restoreDoneOccurrence(r.Number, occurrence)
-		}
-		for _, s := range r.Steps {
-			j.restoreStep(r.Number, s)
+	j.restoreOccurrences(record.Occurrences)
+	for _, part := range parts {
+		var record progressRecord
+		if err := json.Unmarshal(part, &record); err != nil {
+			return &RecordError{ID: j.ID, Cause: err}
 		}
+		j.restoreOccurrences(record.Occurrences)
 	}
 	j.Started = record.Started
 	j.Outcome = record.Outcome
@@ -256,13 +271,19 @@
 	if s.Step < 0 || s.Step >= len(j.Spec.Steps) {
 		return
 	}
-	for i := range j.Spec.Steps[s.Step].Count {
+	count := j.Spec.Steps[s.Step].Count
+	if s.To == 0 {
+		s.To = count
+	}
+	for i := range min(s.To, count) - s.From {
 		if s.AllDone || i/bitsPerByte < len(s.DoneBits) && s.DoneBits[i/bitsPerByte]&(1<<(i%bitsPerByte)) != 0 {
-			j.FinishTask(Key{Occurrence: number, Step: s.Step, Task: i}, time.Time{})
+			j.FinishTask(Key{Occurrence: number, Step: s.Step, Task: s.From + i}, time.Time{})
 		}
 	}
 	p := &j.Occurrence(number).Steps[s.Step]
-	p.Checkpoint = s.Checkpoint
+	if s.Checkpoint != "" {
+		p.Checkpoint = s.Checkpoint
+	}
 	for _, r := range s.Tasks {
 		t := j.Task(Key{Occurrence: number, Step: s.Step, Task: r.Index})
 		if t == nil {
