dispatch: the ledger knows of leases that earlier incarnations have extended

Cause: the deadline of an order is a time of the worker's clock, which starts anew with each incarnation. A start with a deadline of the earlier clock makes the later incarnation extend its lease to max_hold_ms, for all runs there. The owner that noticed the restart allowed for that in its memory (HeldUntil); the next owner counted on leases of 3.5 s, on workers that it had reached and on others, and gave the runs up while they worked.

Ruled out: a fence that did not hold (the starts were ordered by the first owner before its end), and a late start (the worker answered within 0.3 s).

Change: a restart near an order with a deadline is recorded in the ledger (lease/WORKER) until the extended lease has expired, and later owners wait for max_hold_ms more on these workers only. A restart that no owner noticed shows in placements of another incarnation, and in the clock with which a worker confirms a start, which is read now. The bound applies after renewals with a deadline too. An owner that has granted no lease yet allows for those of an earlier one. Waiting longer for all workers would keep tasks away for 10 s whenever a worker is lost with its owner.

TestRestartConfirmedStart asks hasLeaseExpired, to which the bound has moved from worker.Lease.

--- a/carrier/server.go
+++ b/carrier/server.go
@@ -232,7 +232,9 @@
 	}
 	switch o.Kind {
 	case Kind_START:
-		result.setError(w.StartRun(ctx, worker.StartOrder{Key: key, Run: run, Payload: p.payload, Checkpoint: task.Checkpoint(o.Checkpoint), Deadline: worker.Clock(o.Deadline), FencingToken: token, Ticket: o.Ticket}))
+		clock, err := w.StartRun(ctx, worker.StartOrder{Key: key, Run: run, Payload: p.payload, Checkpoint: task.Checkpoint(o.Checkpoint), Deadline: worker.Clock(o.Deadline), FencingToken: token, Ticket: o.Ticket})
+		result.Clock = int64(clock)
+		result.setError(err)
 	case Kind_STOP:
 		result.setError(w.StopRun(ctx, key, run, token))
 	case Kind_SPEED:
--- a/carrier/session.go
+++ b/carrier/session.go
@@ -285,18 +285,19 @@
 	return &Order{Kind: kind, Worker: string(w.Target.ID), Address: string(w.Target.Address), Task: key.String(), Run: int64(run), Token: int64(token)}
 }
 
-// confirm sends an order whose result is only an error.
-func (w *Worker) confirm(order *Order, payload string, timeout time.Duration, handle func(error)) {
+// confirm sends an order whose result is the worker's clock, if it is known, or an error.
+func (w *Worker) confirm(order *Order, payload string, timeout time.Duration, handle func(worker.Clock, error)) {
 	w.Session.send(order, payload, timeout, func(result *Result, err error) {
 		if err == nil {
 			err = errorOf(result, w.Session.member.ID, order.Kind.String()+" of "+order.Task)
 		}
-		handle(err)
+		handle(worker.Clock(result.GetClock()), err)
 	})
 }
 
-// StartRun orders the start of a run. It returns at once and calls handle with the result.
-func (w *Worker) StartRun(start worker.StartOrder, timeout time.Duration, handle func(error)) {
+// StartRun orders the start of a run. It returns at once and calls handle with the worker's clock, which is zero if it is not known,
+// and the result.
+func (w *Worker) StartRun(start worker.StartOrder, timeout time.Duration, handle func(worker.Clock, error)) {
 	order := w.order(Kind_START, start.Key, start.Run, start.FencingToken)
 	order.Deadline, order.Checkpoint, order.Ticket = int64(start.Deadline), string(start.Checkpoint), start.Ticket
 	w.confirm(order, start.Payload, timeout, handle)
@@ -304,14 +305,14 @@
 
 // StopRun orders the end of a run. It returns at once and calls handle with the result.
 func (w *Worker) StopRun(key task.Key, run task.RunNumber, token worker.FencingToken, timeout time.Duration, handle func(error)) {
-	w.confirm(w.order(Kind_STOP, key, run, token), "", timeout, handle)
+	w.confirm(w.order(Kind_STOP, key, run, token), "", timeout, func(_ worker.Clock, err error) { handle(err) })
 }
 
 // SetSpeed throttles a run to a percentage of full speed. It returns at once and calls handle with the result.
 func (w *Worker) SetSpeed(key task.Key, run task.RunNumber, percent int, token worker.FencingToken, timeout time.Duration, handle func(error)) {
 	order := w.order(Kind_SPEED, key, run, token)
 	order.Percent = int32(min(max(percent, 0), 100))
-	w.confirm(order, "", timeout, handle)
+	w.confirm(order, "", timeout, func(_ worker.Clock, err error) { handle(err) })
 }
 
 // RenewLease extends the lease of the worker and returns its status report, as platform.Worker.RenewLease does.
--- a/carrier/session_test.go
+++ b/carrier/session_test.go
@@ -83,7 +83,7 @@
 // start sends a start and returns its result.
 func start(w *Worker) error {
 	result := make(chan error, 1)
-	w.StartRun(worker.StartOrder{Key: testKey, Run: 2, Payload: "p"}, testCallTimeout, func(err error) { result <- err })
+	w.StartRun(worker.StartOrder{Key: testKey, Run: 2, Payload: "p"}, testCallTimeout, func(_ worker.Clock, err error) { result <- err })
 	return <-result
 }
 
@@ -230,7 +230,7 @@
 	for _, order := range []*Order{{Kind: Kind_STOP, Task: "x"}, {Kind: 77, Task: testKey.String()}, {Kind: Kind_SPEED}} {
 		order.Worker, order.Address = string(target.ID), string(target.Address)
 		failed := make(chan error, 1)
-		(&Worker{Session: s, Target: target}).confirm(order, "", testCallTimeout, func(err error) { failed <- err })
+		(&Worker{Session: s, Target: target}).confirm(order, "", testCallTimeout, func(_ worker.Clock, err error) { failed <- err })
 		require.Error(t, <-failed)
 	}
 	require.Zero(t, calls.Load())
--- a/dispatch/carriers.go
+++ b/dispatch/carriers.go
@@ -195,11 +195,11 @@
 		return
 	}
 	if start, ok := d.prepareStart(r); ok {
-		via.StartRun(start, orderTimeout, func(err error) {
+		via.StartRun(start, orderTimeout, func(clock worker.Clock, err error) {
 			d.mu.Lock()
 			defer d.mu.Unlock()
 			d.avoidCarrier(s, err)
-			d.handleStartResult(r, s, err)
+			d.handleStartResult(r, s, clock, err)
 		})
 	}
 }
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -154,6 +154,8 @@
 	hasWaitingTasks  bool
 	// hasCrashSuspects is set once a worker has crashed under a task.
 	hasCrashSuspects bool
+	// extendedLeases holds the workers whose lease may last longer than an owner has granted.
+	extendedLeases map[worker.ID]extendedLease
 	// inheritedRuns holds the runs of earlier owners by machine.
 	inheritedRuns map[worker.MachineID][]*run
 	// busyWorkers is the number of workers with at least one run that is not long-running, as of the last check.
--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -119,7 +119,7 @@
 	d, s, _, _ := newRestart(t)
 	r := addRun(d, s, d.firstRunNumber()+2, phaseStarting)
 	r.job.Outcome = task.StateCancelled
-	d.handleStartResult(r, s, nil)
+	d.handleStartResult(r, s, 0, nil)
 	require.Equal(t, phaseStopping, r.phase)
 	require.True(t, r.stop.pending)
 }
--- a/dispatch/persistence.go
+++ b/dispatch/persistence.go
@@ -24,6 +24,8 @@
 	submissionKeyPrefix = "job/"
 	progressKeyPrefix   = "run/"
 	partKeyPrefix       = "part/"
+	// extendedLeaseKeyPrefix is that of the ids of workers with an extended lease.
+	extendedLeaseKeyPrefix = "lease/"
 	// retentionMargin is added to StatusRetention before an ended job is deleted.
 	retentionMargin = 30 * time.Second
 	// maxWriteBytes is the size at which nothing more is added to a write of changed jobs. The ledger does not split a write.
@@ -347,6 +349,11 @@
 	for id, r := range d.maintenance.orderRecords {
 		records = append(records, r.encode(id))
 	}
+	for id, e := range d.extendedLeases {
+		if e.stored {
+			records = append(records, extendedLeaseRecord(id))
+		}
+	}
 	return records
 }
 
@@ -398,6 +405,8 @@
 			progress[task.JobID(id)] = r.Value
 		case kind+keySeparator == partKeyPrefix:
 			d.addPart(parts, id, r.Value)
+		case kind+keySeparator == extendedLeaseKeyPrefix:
+			d.restoreExtendedLease(worker.ID(id))
 		case kind+keySeparator == waveKeyPrefix:
 			d.restoreWave(r.Value)
 		case kind+keySeparator == orderKeyPrefix:
--- a/dispatch/persistence_test.go
+++ b/dispatch/persistence_test.go
@@ -66,7 +66,7 @@
 	l, records, err := ledger.Open(t.Context(), s, ledger.TopicJobs, 0, epoch, clock, event.Log{})
 	require.NoError(t, err)
 	go func() { _ = l.Run(t.Context()) }() // ends with the test
-	d := New(t.Context(), election.Gained{Epoch: epoch}, Options{Clock: clock})
+	d := New(t.Context(), election.Gained{Epoch: epoch}, Options{Clock: clock, Timing: Timing{MaxLease: testMaxLease}})
 	d.restore(l, records)
 	return d
 }
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -159,6 +159,7 @@
 	}
 	d.slowCheckAt = now
 	d.expireInheritedRuns(now)
+	d.dropExtendedLeases(now)
 	for _, r := range d.runs {
 		d.retryStop(r, now)
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -149,15 +149,20 @@
 	}
 	client := s.client
 	d.mu.Unlock()
-	err := client.StartRun(ctx, order)
+	clock, err := client.StartRun(ctx, order)
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.handleStartResult(r, s, err)
+	d.handleStartResult(r, s, clock, err)
 }
 
-// handleStartResult processes the result of a start order.
-func (d *Dispatcher) handleStartResult(r *run, s *workerState, err error) {
+// handleStartResult processes the result of a start order, and the worker's clock that came with it, if it is not zero.
+func (d *Dispatcher) handleStartResult(r *run, s *workerState, clock worker.Clock, err error) {
 	now := d.clock.Now()
+	if clock != 0 && s.incarnation == r.incarnation && s.lease.IsOtherClock(clock, r.startSentAt) {
+		// Another incarnation has answered, which a report will name if the worker stays reachable.
+		d.extendLeaseBound(s.id, now.Add(maxLeaseLifetime+d.timing.MaxLease))
+		s.runsListedAt = time.Time{}
+	}
 	refusal, refused := platform.WorkerRefusal(err)
 	if !refused && (err != nil || d.runs[r.id] != r) {
 		d.watchForLateStart(s.id, now)
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -148,6 +148,7 @@
 			s.reserve(r)
 		}
 	}
+	d.checkInheritedRuns(s)
 	go d.renewLeases(ctx, s)
 	go d.sendOrders(ctx, s)
 	return s
@@ -209,6 +210,7 @@
 			d.handleRestart(s, report.Incarnation)
 		}
 		s.incarnation, s.incarnationKnownAt = report.Incarnation, now
+		d.checkInheritedRuns(s)
 	}
 	if report.Incarnation != 0 && !s.hasAnswered {
 		s.hasAnswered = true
@@ -292,11 +294,10 @@
 	}
 	s.incarnation, s.incarnationKnownAt = incarnation, now
 	s.tokenAcknowledged, s.hasAnswered, s.runsListedAt = false, false, time.Time{}
-	s.lease = worker.Lease{}
-	if len(uncertain) > 0 {
-		// Deadlines of the earlier incarnation's clock may exceed the longest lease on the new one's.
-		s.lease.HeldUntil = now.Add(d.timing.MaxLease + maxLeaseLifetime)
+	if len(uncertain) > 0 || now.Sub(s.lease.GrantedAt()) < lateStartTime {
+		d.extendLeaseBound(s.id, now.Add(maxLeaseLifetime+d.timing.MaxLease))
 	}
+	s.lease = worker.Lease{}
 	s.reportedEnd, s.submittedEnd, s.storedEnd, s.ackedEnd, s.hasMoreEnds, s.orphanedRuns = 0, 0, 0, 0, false, nil
 	for _, r := range uncertain {
 		if r.phase != phaseStopping {
--- a/dispatch/worker_state_test.go
+++ b/dispatch/worker_state_test.go
@@ -49,7 +49,7 @@
 	listed, unlisted = addRun(d, s, d.firstRunNumber(), phaseUnconfirmed), addRun(d, s, d.firstRunNumber()+1, phaseStarting)
 	now := d.clock.Now()
 	d.applyReport(s, reportOf(1000, listed), now.Add(-time.Second), now)
-	d.handleStartResult(unlisted, s, nil)
+	d.handleStartResult(unlisted, s, 0, nil)
 	return d, s, listed, unlisted
 }
 
@@ -69,7 +69,7 @@
 	d.applyRegistration(entryRecord("w", "desk", 2000))
 	require.NotContains(t, d.runs, listed.id, "it has ended with the earlier incarnation")
 	require.Contains(t, d.runs, unlisted.id, "the new incarnation may have it")
-	require.False(t, s.lease.IsExpired(d.clock.Now().Add(d.timing.MaxLease)), "the deadline was meant for another clock")
+	require.False(t, d.hasLeaseExpired(s, d.clock.Now().Add(d.timing.MaxLease)), "the deadline was meant for another clock")
 	sent := d.clock.Now()
 	d.applyReport(s, reportOf(2000, unlisted), sent, sent)
 	require.Equal(t, phaseRunning, unlisted.phase)
