platform, dispatch: a start that was not sent is taken back at once

Callers saw tasks that started seconds late after a worker without runs had crashed.

Cause: such a worker is not asked for reports. The next start was written to a connection that the worker had closed, or no connection could be opened; both counted as an order without an answer, which may still be carried out.

--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -158,15 +158,14 @@
 // handleStartResult processes the result of a start order, and the worker's clock that came with it, if it is not zero.
 func (d *Dispatcher) handleStartResult(r *run, s *workerState, clock worker.Clock, err error) {
 	now := d.clock.Now()
-	if clock != 0 && s.incarnation == r.incarnation && s.lease.IsOtherClock(clock, r.startSentAt) {
-		// Another incarnation has answered, which a report will name if the worker stays reachable.
-		d.extendLeaseBound(s.id, now.Add(maxLeaseLifetime+d.timing.MaxLease))
-		s.runsListedAt = time.Time{}
-	}
+	d.checkClock(r, s, clock, now)
 	refusal, refused := platform.WorkerRefusal(err)
 	if !refused && (err != nil || d.runs[r.id] != r) {
 		d.watchForLateStart(s.id, now)
 	}
+	if platform.IsNotSent(err) {
+		refusal, refused = worker.RefusedUnreachable, true
+	}
 	if d.runs[r.id] != r || r.phase != phaseStarting {
 		return
 	}
@@ -199,6 +198,15 @@
 	r.task().NotBefore = now.Add(refusedRetryDelay)
 }
 
+// checkClock extends the bound of a worker's lease if the clock with which the worker has confirmed the start of a run shows another
+// incarnation. A report will name that, if the worker stays reachable.
+func (d *Dispatcher) checkClock(r *run, s *workerState, clock worker.Clock, now time.Time) {
+	if clock != 0 && s.incarnation == r.incarnation && s.lease.IsOtherClock(clock, r.startSentAt) {
+		d.extendLeaseBound(s.id, now.Add(maxLeaseLifetime+d.timing.MaxLease))
+		s.runsListedAt = time.Time{}
+	}
+}
+
 // confirmStart records that the worker has started a run.
 func (d *Dispatcher) confirmStart(r *run, now time.Time) {
 	r.startConfirmedAt = now
--- a/worker/worker.go
+++ b/worker/worker.go
@@ -154,4 +154,5 @@
 	RefusedWrongIncarnation Refusal = "reborn" // the worker is not the one that the order was meant for
 	RefusedUnhealthy        Refusal = "unhealthy"
 	RefusedInvalid          Refusal = "invalid"
+	RefusedUnreachable      Refusal = "unreachable" // no connection could be opened, so that nothing was sent
 )
