dispatch: a crash is blamed on runs that had just started

Cause: a crash was blamed on all runs that had certainly started on the worker, long-running ones for 5 s, others for ever. A worker that crashes within milliseconds of a start often does not answer it, and such a start was not blamed.

Change: a run is a suspect only if its worker fell silent within 1 s of the start, and one that lasts longer clears its task. Of the starts whose connection the worker ended, the first one is a suspect too. A long-running job is not given up any more: PROTOCOL.md says that its tasks must be restarted however they end. After the second crash under it alone, a task waits 0.25 s to 2 s before its next run.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -10,16 +10,19 @@
 
 const (
 	// maxLoneCrashes is the number of workers that may crash under a task before its job fails, if the last of them ran
-	// nothing else that may be the cause. maxCrashes is the number whatever else ran there. A long-running task runs beside
-	// many others in its time, and its job has no limit of attempts, so that only crashes without any other task that may
-	// be the cause count against it.
+	// nothing else that may be the cause. maxCrashes is the number whatever else ran there. A long-running task is restarted
+	// however it ends: after maxLoneCrashes, it waits before each further run.
 	maxLoneCrashes = 2
 	maxCrashes     = 3
+	// crashRetryDelay is the first of these delays. It doubles with each crash, up to maxCrashRetryDelay.
+	crashRetryDelay    = 250 * time.Millisecond
+	maxCrashRetryDelay = 2 * time.Second
 	// maxApartWait is how long a crash suspect waits for a worker without another one.
 	maxApartWait = 2 * time.Second
-	// crashProbation is how long a long-running task must be at full speed before it no longer counts as the possible
-	// cause of a crash.
-	crashProbation = 5 * time.Second
+	// crashProbation is how long a run must have lasted before it no longer counts as the possible cause of a crash. A task
+	// that crashes its workers does so when it starts; workers also crash for causes of their own, and then a job must not be
+	// given up.
+	crashProbation = time.Second
 )
 
 // lostRuns are runs that were given up when the lease of their worker expired. If the worker turns out to have
@@ -100,13 +103,7 @@
 	if d.maintenance.hasPendingOrder(machine) || d.isReservedByEarlierOwner(machine, now) {
 		return // an order may have ended the worker
 	}
-	var suspects []*run
-	for _, r := range runs {
-		// A start that is not confirmed may have arrived after the crash.
-		if !r.startConfirmedAt.IsZero() && r.job.Outcome == "" && !r.task().Done && !r.isTrusted(now) {
-			suspects = append(suspects, r)
-		}
-	}
+	suspects := d.crashSuspects(runs, now)
 	for _, r := range suspects {
 		t := r.task()
 		t.Crashes++
@@ -118,16 +115,25 @@
 			t.LoneCrashes++
 		}
 		isCause := isAlone && t.Crashes >= maxLoneCrashes || t.Crashes >= maxCrashes
-		if r.step.LongRunning {
-			isCause = t.LoneCrashes >= maxLoneCrashes
-		}
-		if r.job.Outcome == "" && isCause {
+		if r.job.Outcome == "" && isCause && !r.step.LongRunning {
 			d.finishJob(r.job, task.StateFailed, now)
 			d.saveAndCloseIfEnded(r.job)
 		}
 	}
 }
 
+// retryDelayAfterCrash returns how long a long-running task waits after a crash of its worker.
+func retryDelayAfterCrash(t *task.Task) time.Duration {
+	if t.LoneCrashes < maxLoneCrashes {
+		return 0
+	}
+	delay := crashRetryDelay
+	for n := maxLoneCrashes; n < t.LoneCrashes && delay < maxCrashRetryDelay; n++ {
+		delay *= 2
+	}
+	return min(delay, maxCrashRetryDelay)
+}
+
 // mustRunApart reports whether a crash suspect is placed only on a worker without another one. One that has waited for
 // maxApartWait is not: while many tasks crash workers, there are not enough for all.
 func (d *Dispatcher) mustRunApart(t *task.Task, now time.Time) bool {
@@ -138,18 +144,41 @@
 	return now.Sub(waitingSince) < maxApartWait
 }
 
-// isTrusted reports whether a run has worked for long enough that it is not taken for the cause of a crash.
-func (r *run) isTrusted(now time.Time) bool {
-	workedUntil := now
+// crashSuspects returns those of the runs on a crashed worker that may be the cause: the ones that had started shortly before, and
+// the first one whose start was broken off. Later orders were sent to a worker that had crashed.
+func (d *Dispatcher) crashSuspects(runs []*run, now time.Time) []*run {
+	var suspects []*run
+	var unanswered *run
+	for _, r := range runs {
+		if r.job.Outcome != "" || r.task().Done {
+			continue
+		}
+		switch {
+		case !r.startConfirmedAt.IsZero():
+			if r.lastSign(now).Sub(r.startConfirmedAt) <= crashProbation {
+				suspects = append(suspects, r)
+			}
+		case r.startBrokenOff && (unanswered == nil || r.startSentAt.Before(unanswered.startSentAt)):
+			unanswered = r
+		}
+	}
+	if unanswered != nil && unanswered.lastSign(now).Sub(unanswered.startSentAt) <= crashProbation {
+		suspects = append(suspects, unanswered)
+	}
+	return suspects
+}
+
+// lastSign returns until when the worker of a run was not known to be silent.
+func (r *run) lastSign(now time.Time) time.Time {
 	if s := r.worker; s != nil && !s.unreachableSince.IsZero() {
-		workedUntil = s.unreachableSince
+		return s.unreachableSince
 	}
-	return r.step.LongRunning && !r.fullSpeedSince.IsZero() && workedUntil.Sub(r.fullSpeedSince) > crashProbation
+	return now
 }
 
 // clearCrashes ends the suspicion against the task of a run that has worked for long enough.
 func (d *Dispatcher) clearCrashes(r *run, now time.Time) {
-	if t := r.task(); t.Crashes > 0 && r.isTrusted(now) {
+	if t := r.task(); t.Crashes > 0 && r.lastSign(now).Sub(r.startConfirmedAt) > crashProbation {
 		t.Crashes, t.LoneCrashes = 0, 0
 		d.markDirty(r.job)
 	}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -50,7 +50,9 @@
 	// startSentAt is when the start order was sent or, if an earlier owner sent it, when this term began; in
 	// phasePlanned, when the run was placed. startConfirmedAt is when the start was confirmed.
 	startSentAt, startConfirmedAt time.Time
-	stop                          stopState
+	// startBrokenOff is set if the worker ended the connection instead of answering the start order.
+	startBrokenOff bool
+	stop           stopState
 	// speedPercent is the share of full speed that was last ordered, lastMeasurement the worker.Run.Measurement
 	// that the worker last reported. speedPending is set while that order has no result.
 	speedPercent    int
@@ -180,7 +182,7 @@
 	if !refused {
 		d.counters.UnconfirmedStarts++
 		d.log.Info(eventStartUnconfirmed, "task", r.id.key.String(), "run", r.id.number, "worker", s.id, "error", err)
-		r.phase = phaseUnconfirmed
+		r.phase, r.startBrokenOff = phaseUnconfirmed, platform.IsBrokenOff(err)
 		s.suspectUntil = now.Add(suspectDuration)
 		s.requestRenewal()
 		return
@@ -349,6 +351,9 @@
 	d.removeRun(r)
 	d.recordFinalCheckpoint(r, checkpoint)
 	t.NotBefore = now
+	if r.step.LongRunning && cause == worker.CauseLeaseExpired {
+		t.NotBefore = now.Add(retryDelayAfterCrash(t))
+	}
 	if j.Outcome != "" {
 		return
 	}
