dispatch: a run whose start may be late is stopped on each incarnation

Cause: a restarted worker has forgotten the stop that made it reject the start, and no token is higher than that of the order. The owner stopped such a run only once it was listed.

Change: unanswered starts are kept for 15 s, and their runs are stopped again on each later incarnation of their worker, until it has confirmed that. Runs that the owner still tracks are left out, since they may be at work there. Left is the time until the owner learns of the restart.

Test: dispatch TestLateStartOnNextIncarnation, fails with the stops taken out.

--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -128,8 +128,8 @@
 	// read of them last failed.
 	registrationsLoadedAt, registrationsUnreadAt time.Time
 	runs                                         map[runID]*run
-	// lateStarts holds the time until which an earlier start may take effect on a worker.
-	lateStarts map[worker.ID]time.Time
+	// lateStarts holds the starts that may still take effect on a worker.
+	lateStarts map[worker.ID]map[runID]*lateStart
 	// lostRuns holds the runs that were lost with the lease of their worker, by machine.
 	lostRuns  map[worker.MachineID]lostRuns
 	dirtyJobs []*job // jobs to write
--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/worker"
@@ -10,15 +11,55 @@
 // only on the incarnation for which it was meant.
 const lateStartTime = 15 * time.Second
 
-// watchForLateStart makes the owner ask a worker for its runs, also if it has none, as long as a start may take effect
-// there. After a restart the worker has forgotten the stop of the run.
-func (d *Dispatcher) watchForLateStart(id worker.ID, now time.Time) {
+// lateStart is the start of a run that was not answered and may still take effect.
+type lateStart struct {
+	// until is when it no longer may.
+	until time.Time
+	// incarnation is that for which the order was meant, or a later one that has confirmed a stop of the run.
+	incarnation worker.Incarnation
+	stop        stopState
+}
+
+// watchForLateStart makes the owner ask a worker for its runs, also if it has none, as long as the start of a run may take effect
+// there, and stop the run on each later incarnation.
+func (d *Dispatcher) watchForLateStart(r *run, s *workerState, now time.Time) {
 	if d.lateStarts == nil {
-		d.lateStarts = map[worker.ID]time.Time{}
+		d.lateStarts = map[worker.ID]map[runID]*lateStart{}
 	}
-	d.lateStarts[id] = now.Add(lateStartTime)
-	if s := d.workers[id]; s != nil {
-		s.requestRenewal()
+	if d.lateStarts[s.id] == nil {
+		d.lateStarts[s.id] = map[runID]*lateStart{}
+	}
+	d.lateStarts[s.id][r.id] = &lateStart{until: now.Add(lateStartTime), incarnation: r.incarnation}
+	s.requestRenewal()
+}
+
+// stopLateStarts stops the runs whose starts may take effect on a later incarnation of the worker, which has forgotten earlier
+// stops, and rejects a start after a stop. A run that the owner still tracks may be at work there.
+func (d *Dispatcher) stopLateStarts(s *workerState, now time.Time) {
+	for id, late := range d.lateStarts[s.id] {
+		if late.incarnation == s.incarnation || d.runs[id] != nil || !late.stop.isDue(now) {
+			continue
+		}
+		d.orderStop(s, id, &late.stop, func(incarnation worker.Incarnation, err error) {
+			if err != nil {
+				d.log.Info(eventStopFailed, "task", id.key.String(), "run", id.number, "worker", s.id, "error", err)
+				return
+			}
+			late.incarnation = incarnation
+		})
+	}
+}
+
+// checkLateStarts forgets the starts that can no longer take effect, and repeats the stops of the others where necessary.
+func (d *Dispatcher) checkLateStarts(now time.Time) {
+	for id, starts := range d.lateStarts {
+		maps.DeleteFunc(starts, func(_ runID, late *lateStart) bool { return now.After(late.until) })
+		if len(starts) == 0 {
+			delete(d.lateStarts, id)
+		}
+		if s := d.workers[id]; s != nil {
+			d.stopLateStarts(s, now)
+		}
 	}
 }
 
--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -136,3 +139,43 @@
 	require.True(t, isAsked)
 	require.False(t, renewal.EndsOnly)
 }
+
+// TestLateStartOnNextIncarnation guards against a task that runs twice at once: its start was not answered, the stop was confirmed and
+// the task placed elsewhere; then the worker crashed and came back, without knowing of the stop, and the start took effect.
+func TestLateStartOnNextIncarnation(t *testing.T) {
+	d, s, listed, unlisted := newRestart(t)
+	late := addRun(d, s, d.firstRunNumber()+2, phaseStarting)
+	late.incarnation = s.incarnation
+	d.handleStartResult(late, s, 0, context.DeadlineExceeded)
+	d.endLostRun(late, worker.CauseStopped, d.clock.Now())
+	var stopped atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if strings.Contains(string(body), `"run":1002`) {
+			stopped.Add(1)
+		}
+		_, _ = w.Write([]byte(`{"clock_ms":500}`))
+	}))
+	defer server.Close()
+	s.client = &platform.Worker{ID: "w", Address: instance.Address(strings.TrimPrefix(server.URL, "http://")), Client: platform.NewDirectClient()}
+	go d.sendOrders(t.Context(), s)
+	for n, incarnation := range []int{2000, 3000} {
+		d.mu.Lock()
+		d.applyRegistration(entryRecord("w", "desk", incarnation))
+		d.mu.Unlock()
+		require.Eventually(t, func() bool {
+			d.mu.Lock()
+			defer d.mu.Unlock()
+			d.checkLateStarts(d.clock.Now())
+			return stopped.Load() >= int32(n+1) && d.lateStarts["w"][late.id].incarnation == worker.Incarnation(incarnation)
+		}, time.Second, time.Millisecond)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.checkLateStarts(d.clock.Now().Add(time.Second))
+	require.Empty(t, s.orders.stops, "the incarnation has confirmed the stop")
+	require.NotContains(t, d.runs, listed.id)
+	require.False(t, unlisted.stop.pending, "it may run on the new incarnation")
+	d.checkLateStarts(d.clock.Now().Add(2 * lateStartTime))
+	require.Empty(t, d.lateStarts)
+}
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"maps"
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/pool"
@@ -163,7 +162,7 @@
 	for _, r := range d.runs {
 		d.retryStop(r, now)
 	}
-	maps.DeleteFunc(d.lateStarts, func(_ worker.ID, until time.Time) bool { return now.After(until) })
+	d.checkLateStarts(now)
 	d.dropUnneededAdvice()
 	if d.ledger != nil {
 		d.dropEndedJobs(now)
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -70,7 +70,7 @@
 		}
 		return renewal, true
 	case s.isKnownIdle():
-		if now.Before(d.lateStarts[s.id]) && s.reportedEnd == s.ackedEnd {
+		if len(d.lateStarts[s.id]) > 0 && s.reportedEnd == s.ackedEnd {
 			renewal.MaxWait = maxReportDelay
 			return renewal, true
 		}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -163,7 +163,7 @@
 	d.checkClock(r, s, clock, now)
 	refusal, refused := platform.WorkerRefusal(err)
 	if !refused && (err != nil || d.runs[r.id] != r) {
-		d.watchForLateStart(s.id, now)
+		d.watchForLateStart(r, s, now)
 	}
 	if platform.IsNotSent(err) {
 		refusal, refused = worker.RefusedUnreachable, true
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -149,6 +149,9 @@
 		}
 	}
 	d.checkInheritedRuns(s)
+	for _, late := range d.lateStarts[s.id] {
+		late.stop = stopState{} // an order that waited in the queue of a removed workerState is not sent
+	}
 	go d.renewLeases(ctx, s)
 	go d.sendOrders(ctx, s)
 	return s
@@ -308,6 +311,10 @@
 	for _, r := range ended {
 		d.endLostRun(r, worker.CauseLeaseExpired, now)
 	}
+	for _, late := range d.lateStarts[s.id] {
+		late.stop.sentAt = time.Time{}
+	}
+	d.stopLateStarts(s, now)
 }
 
 // endIncarnation ends all runs of a worker whose incarnation is known to have ended: another incarnation or
