soak, standin: workers restart under their ids and are cut off

Seeds above 2000 restart workers under their ids, some with late starts on their way, and cut them off soon after, in place of changes of the longest lease. The emulated workers shorten leases to the longest one.

--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"slices"
 	"strings"
 	"syscall"
 	"time"
@@ -50,7 +51,14 @@
 // determines the sequence of faults. Which entry or worker a fault affects also depends on which entry is the owner
 // and which workers are alive.
 func (s *soakRun) injectFault() {
-	faults := []func(){s.restartEntries, s.pauseEntry, s.reloadSettings, s.injectStoreFault, s.makePartitionsUnavailable, s.injectConnectionFault, s.injectWorkerFault, s.crashMachine, s.requestMaintenanceWave, s.publishConfiguration, s.startRollingRestart}
+	changeSettings := s.reloadSettings
+	if s.restartsWorkers { // the longest lease must be what the workers apply
+		changeSettings = s.restartAndCutWorkers
+	}
+	faults := []func(){s.restartEntries, s.pauseEntry, changeSettings, s.injectStoreFault, s.makePartitionsUnavailable, s.injectConnectionFault, s.injectWorkerFault, s.crashMachine, s.requestMaintenanceWave, s.publishConfiguration, s.startRollingRestart}
+	if s.restartsWorkers {
+		faults = append(faults, s.restartAndCutWorkers, s.restartAndCutWorkers)
+	}
 	if s.hasManyPauses {
 		faults = append(faults, s.pauseEntry, s.pauseEntry, s.pauseEntry, s.pauseSeries, s.pauseSeries)
 	}
@@ -256,6 +264,31 @@
 	}
 }
 
+// restartAndCutWorkers restarts some workers under their ids and cuts them off soon after, sometimes while late starts are on their
+// way to them.
+func (s *soakRun) restartAndCutWorkers() {
+	count, downtime, gap, d := 1+s.random.IntN(4), s.randomDuration(20, 700), s.randomDuration(50, 2000), s.randomDuration(500, 5000)
+	lateStarts, first := s.random.IntN(3), s.random.IntN(len(s.machines))
+	s.logFault("%d workers from %s on restart after %s and are cut off %s later for %s, %d late starts", count, s.machines[first], downtime, gap, d, lateStarts)
+	for _, w := range s.Workers() {
+		index := slices.Index(s.machines, w.Machine)
+		if index < first || index >= first+count {
+			continue
+		}
+		machine := w.Machine
+		end := s.RecordDisturbance(machine)
+		w.DelayStarts(lateStarts, downtime+gap)
+		w.Restart(downtime)
+		s.runAfter(downtime+gap, func() {
+			s.mu.Lock()
+			p := s.workerProxies[machine]
+			s.mu.Unlock()
+			p.setFaults(0, dropBoth)
+			s.runAfter(d, func() { p.clearFaults(); end() })
+		})
+	}
+}
+
 func (s *soakRun) requestMaintenanceWave() {
 	s.lastVersion++
 	n := 1 + s.random.IntN(len(s.machines)/2)
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -43,6 +43,11 @@
 	machineMillicores = 16000
 	// lastUniformSeed is the last seed whose runs pause entries as often as they inject any other fault.
 	lastUniformSeed = 1000
+	// lastPausingSeed is the last seed whose runs pause entries more often. Those of later ones restart workers instead, under
+	// their ids, and cut them off.
+	lastPausingSeed = 2000
+	// maxLease is the longest lease of the workers in these runs, as the entries are told.
+	maxLease = 6 * time.Second
 	// regressionSeedsFile lists the seeds that have failed before, one per line, with the cause.
 	regressionSeedsFile = "testdata/seeds.txt"
 )
@@ -71,14 +76,15 @@
 // soakRun is one run of the test with one seed.
 type soakRun struct {
 	*fabric.Platform
-	t             *testing.T
-	random        *rand.Rand
-	entries       []*entry
-	machines      []string
-	callers       *callerGroup
-	startedAt     time.Time
-	pendingFaults sync.WaitGroup
-	hasManyPauses bool // entries are paused more often than other faults are injected
+	t               *testing.T
+	random          *rand.Rand
+	entries         []*entry
+	machines        []string
+	callers         *callerGroup
+	startedAt       time.Time
+	pendingFaults   sync.WaitGroup
+	hasManyPauses   bool // entries are paused more often than other faults are injected
+	restartsWorkers bool // workers restart under their ids and are cut off, in place of changes of the longest lease
 
 	mu              sync.Mutex
 	workerProxies   map[string]*proxy // keyed by machine
@@ -123,8 +129,11 @@
 	path, err := buildBinary()
 	require.NoError(t, err)
 	directory := t.TempDir()
-	s := &soakRun{Platform: fabric.NewPlatform(), t: t, random: rand.New(rand.NewPCG(seed, 0)), workerProxies: map[string]*proxy{}, reservedEntries: map[int]bool{}, lastVersion: 1, hasManyPauses: seed > lastUniformSeed}
+	s := &soakRun{Platform: fabric.NewPlatform(), t: t, random: rand.New(rand.NewPCG(seed, 0)), workerProxies: map[string]*proxy{}, reservedEntries: map[int]bool{}, lastVersion: 1, hasManyPauses: seed > lastUniformSeed && seed <= lastPausingSeed, restartsWorkers: seed > lastPausingSeed}
 	s.MinHandoverInterval, s.ProxyAddress, s.ClockDrift = leaseDuration, s.proxyWorker, maxClockSlowdown
+	if s.restartsWorkers {
+		s.MaxLease = maxLease
+	}
 	if len(arguments) == 0 { // no other entry carries the calls of the owner
 		s.SenderOf = s.ownerOf
 	}
@@ -213,9 +222,9 @@
 	return violations
 }
 
-// TestShort checks the guarantees to callers under the faults of two fixed seeds.
+// TestShort checks the guarantees to callers under the faults of some fixed seeds.
 func TestShort(t *testing.T) {
-	for _, seed := range []uint64{1, 2} {
+	for _, seed := range []uint64{1, 2, lastPausingSeed + 1} {
 		require.Empty(t, runSeed(t, seed), "seed %d", seed)
 	}
 }
--- a/standin/fabric/platform.go
+++ b/standin/fabric/platform.go
@@ -19,6 +19,9 @@
 	// MinHandoverInterval is the minimum time between orders for the same machine from different owners. Shorter
 	// intervals are violations. Set it before the entries start.
 	MinHandoverInterval time.Duration
+	// MaxLease is the longest lease of a worker, which shortens longer ones; zero means no limit. Set it before the first machine
+	// is added.
+	MaxLease time.Duration
 	// ClockDrift is the fraction by which the clocks of the workers with an even number in their id run slow. Machines
 	// and workers share these numbers. Set it before the first machine is added.
 	ClockDrift float64
--- a/standin/fabric/worker.go
+++ b/standin/fabric/worker.go
@@ -273,7 +273,7 @@
 	if w.runs[body.Task] != nil {
 		return ""
 	}
-	w.leaseEnd = max(w.leaseEnd, body.DeadlineMS)
+	w.extendLease(body.DeadlineMS)
 	cpu, duration, fails := w.platform.recordStart(w, body)
 	if strings.HasSuffix(body.Spec, deadlySuffix) {
 		go w.platform.CrashWorker(w.Machine, crashDowntime)
@@ -343,6 +343,14 @@
 	w.runs = map[string]*run{}
 }
 
+// extendLease extends the lease to a deadline, as far as the longest lease allows.
+func (w *Worker) extendLease(deadline int64) {
+	if limit := w.platform.MaxLease; limit > 0 {
+		deadline = min(deadline, w.clockMS()+limit.Milliseconds())
+	}
+	w.leaseEnd = max(w.leaseEnd, deadline)
+}
+
 // expireLease ends all runs if the lease has expired.
 func (w *Worker) expireLease() {
 	w.mu.Lock()
@@ -365,7 +373,7 @@
 		writeJSON(rw, http.StatusConflict, map[string]any{"clock_ms": w.clockMS(), "reason": "fence"})
 		return
 	}
-	w.leaseEnd = max(w.leaseEnd, body.DeadlineMS)
+	w.extendLease(body.DeadlineMS)
 	for len(w.unacknowledgedEnds) > 0 && w.unacknowledgedEnds[0][0].(int64) <= body.LastSeen {
 		if w.unacknowledgedEnds[0][0].(int64) > w.lastEndAtExpiry {
 			end := w.unacknowledgedEnds[0]
