--- a/dispatch/expiry.go
+++ b/dispatch/expiry.go
@@ -27,6 +27,9 @@
 
 // extendLeaseBound records that the lease of a worker may last until the given time, and stores that it is extended.
 func (d *Dispatcher) extendLeaseBound(id worker.ID, until time.Time) {
+	if !until.After(d.clock.Now()) {
+		return
+	}
 	if d.extendedLeases == nil {
 		d.extendedLeases = map[worker.ID]extendedLease{}
 	}
