process: a late start on a restarted worker is rejected

The test now keeps the new incarnation from answering until the start has taken effect, and asks as before that the run ends within 3 s. TestLateStartRejected asks that the run does not start at all if the worker answers. It fails with the stops taken out.

--- a/standin/fabric/worker.go
+++ b/standin/fabric/worker.go
@@ -136,7 +136,12 @@
 }
 
 // Restart ends the worker and its runs at once, and starts a new incarnation with the same id after d.
-func (w *Worker) Restart(d time.Duration) {
+func (w *Worker) Restart(d time.Duration) { w.restart(d, false) }
+
+// RestartUnresponsive restarts the worker, and the new incarnation answers no call until SetUnresponsive is called on it.
+func (w *Worker) RestartUnresponsive(d time.Duration) { w.restart(d, true) }
+
+func (w *Worker) restart(d time.Duration, unresponsive bool) {
 	p := w.platform
 	p.mu.Lock()
 	delete(p.workers, w.Machine)
@@ -145,7 +150,7 @@
 	w.terminate()
 	time.AfterFunc(d, func() {
 		next := &Worker{
-			ID: w.ID, Machine: w.Machine, Pool: w.Pool, CPU: w.CPU, platform: p, startedAt: time.Now(), clockDrift: w.clockDrift,
+			ID: w.ID, Machine: w.Machine, Pool: w.Pool, CPU: w.CPU, platform: p, startedAt: time.Now(), clockDrift: w.clockDrift, unresponsive: unresponsive,
 			runs: map[string]*run{}, highestRun: map[string]int64{}, changed: make(chan struct{}),
 		}
 		next.address = p.startServer(next)
