dispatch: log starts that a later incarnation of a worker carries out

The answer to a start does not name it, and no line compared the report that lists the run with the order. task.crossed does, and task.placed, task.doubt and task.vanished name the incarnation for which the start was ordered. For a run of an earlier owner that is the one which the ledger names.

--- a/dispatch/events.go
+++ b/dispatch/events.go
@@ -32,6 +32,7 @@
 	eventWorkerRestarted        = event.Define(2519, "worker.reborn", "a worker has restarted as a new incarnation")
 	eventReportOutdated         = event.Define(2528, "report.outdated", "a report of an earlier incarnation of a worker has arrived after the later one was known; it is ignored")
 	eventLeaseExtended          = event.Define(2550, "lease.extended", "an order for an earlier incarnation may have extended the lease of a worker to the longest one; if the worker is silent, its runs are kept for that time")
+	eventStartCrossed           = event.Define(2551, "task.crossed", "a later incarnation of a worker runs a task whose start was ordered for the one named by birth")
 	eventIncarnationEnded       = event.Define(2526, "worker.over", "the incarnation of a worker has ended, and its runs with it")
 	eventRegistrationReadFailed = event.Define(2520, "list.failed", "the registrations of workers cannot be read")
 	eventRegistrationsLoaded    = event.Define(2521, "list.loaded", "all registrations of workers were read")
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -104,7 +104,7 @@
 	d.runs[r.id] = r
 	s.reserve(r)
 	j.activeRuns++
-	d.log.Info(eventTaskPlaced, "task", key.String(), "run", r.id.number, "worker", s.id, "free", s.registration.Capacity.Sub(s.reserved).CPU, "priority", j.queue.Priority, "slack", a.Pending.Slack(r.startSentAt))
+	d.log.Info(eventTaskPlaced, "task", key.String(), "run", r.id.number, "worker", s.id, "birth", s.incarnation, "free", s.registration.Capacity.Sub(s.reserved).CPU, "priority", j.queue.Priority, "slack", a.Pending.Slack(r.startSentAt))
 	d.markDirty(j, func(err error) {
 		if err != nil {
 			return // the term has ended
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -181,7 +181,7 @@
 	}
 	if !refused {
 		d.counters.UnconfirmedStarts++
-		d.log.Info(eventStartUnconfirmed, "task", r.id.key.String(), "run", r.id.number, "worker", s.id, "error", err)
+		d.log.Info(eventStartUnconfirmed, "task", r.id.key.String(), "run", r.id.number, "worker", s.id, "birth", r.incarnation, "error", err)
 		r.phase, r.startBrokenOff = phaseUnconfirmed, platform.IsBrokenOff(err)
 		s.suspectUntil = now.Add(suspectDuration)
 		s.requestRenewal()
@@ -229,6 +229,9 @@
 	if r.phase == phaseUnconfirmed || r.phase == phaseStarting {
 		d.confirmStart(r, now)
 	}
+	if r.listedBy == 0 && r.incarnation != 0 && r.incarnation != r.worker.incarnation {
+		d.log.Info(eventStartCrossed, "task", r.id.key.String(), "run", r.id.number, "worker", r.workerID, "birth", r.incarnation, "current", r.worker.incarnation)
+	}
 	r.incarnation, r.listedBy = r.worker.incarnation, r.worker.incarnation
 	r.job.RecordCheckpoint(r.id.key, r.id.number, reported.Checkpoint)
 	r.lastMeasurement = reported.Measurement
@@ -338,7 +341,7 @@
 		return
 	}
 	d.counters.LostRuns++
-	d.log.Info(eventRunLost, "task", r.id.key.String(), "run", r.id.number, "worker", r.workerID, "phase", r.phase, "cause", cause)
+	d.log.Info(eventRunLost, "task", r.id.key.String(), "run", r.id.number, "worker", r.workerID, "birth", r.incarnation, "phase", r.phase, "cause", cause)
 	d.endRun(r, cause, "", now)
 }
 
