dispatch: a start goes only to the incarnation that the ledger names

Callers saw nothing by itself. A run whose placement was being stored when its worker restarted was sent to the new incarnation, while the ledger named the earlier one. Such a run is now removed and its task placed anew.

TestStartOnOtherIncarnationThanStored fails without the change.

--- a/dispatch/lease_test.go
+++ b/dispatch/lease_test.go
@@ -171,3 +171,21 @@
 	d.ledger.Flush(t.Context())
 	require.Empty(t, s.records)
 }
+
+// TestStartOnOtherIncarnationThanStored guards against a start that goes to another incarnation of a worker than the stored placement
+// names: later owners take the worker for one that has restarted since, and wait for its longest lease.
+func TestStartOnOtherIncarnationThanStored(t *testing.T) {
+	d, w := newLeaseOwner(t, &keyedStore{}, 1, 1000)
+	answer(d, w, 1000)
+	r := placeLongRunning(t, d, "00000000000000aa")
+	d.mu.Lock()
+	d.applyRegistration(entryRecord("w", "desk", 2000))
+	d.mu.Unlock()
+	answer(d, w, 2000)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ctx = t.Context()
+	_, ok := d.prepareStart(r)
+	require.False(t, ok)
+	require.NotContains(t, d.runs, r.id, "the task is placed anew")
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -41,7 +41,7 @@
 	workerID worker.ID
 	// worker is nil while the worker is not registered.
 	worker *workerState
-	// incarnation is the worker's incarnation when the run was placed, started or last reported.
+	// incarnation is the worker's incarnation when the run was placed, or that which has last listed it.
 	incarnation worker.Incarnation
 	machine     worker.MachineID
 	step        *task.Step
@@ -121,12 +121,12 @@
 // the run and returns false.
 func (d *Dispatcher) prepareStart(r *run) (worker.StartOrder, bool) {
 	s := r.worker
-	if d.runs[r.id] != r || r.phase != phasePlanned || s == nil || r.job.Outcome != "" || d.ctx.Err() != nil || !d.mayOrder() || !d.canTakeTasks(s) || s.isOverCapacity() {
+	if d.runs[r.id] != r || r.phase != phasePlanned || s == nil || r.incarnation != s.incarnation || r.job.Outcome != "" || d.ctx.Err() != nil || !d.mayOrder() || !d.canTakeTasks(s) || s.isOverCapacity() {
 		d.removeRun(r)
 		return worker.StartOrder{}, false
 	}
 	now := d.clock.Now()
-	r.phase, r.startSentAt, r.incarnation = phaseStarting, now, s.incarnation
+	r.phase, r.startSentAt = phaseStarting, now
 	return worker.StartOrder{
 		Key: r.id.key, Run: r.id.number, Payload: r.job.Spec.Payload, Checkpoint: r.job.StartCheckpoint(r.id.key, r.id.number),
 		Deadline: s.lease.Grant(now, min(leaseDuration, d.timing.MaxLease)), FencingToken: worker.FencingToken(d.epoch),
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -284,8 +284,7 @@
 	for _, r := range s.runs {
 		switch {
 		case r.phase == phasePlanned:
-			// The order has not been sent. It goes to the new incarnation or, if that has not answered by then, the
-			// run is removed (see sendStart).
+			// The order has not been sent, and is not: the stored placement names the earlier incarnation.
 		case r.listedBy == s.incarnation && r.phase != phaseUnconfirmed:
 			ended = append(ended, r)
 		default:
