platform, dispatch, carrier: calls reach the incarnation that they are meant for

Cause: a call that was meant for one incarnation of a worker takes effect on the next one. The header names the id, which stays the same, and the deadline is a time of the earlier clock, so that the lease of the new incarnation lasts for the longest time. An owner that has not noticed the restart counts on the 3.5 s that it has granted, and so does the next owner if the first one fails before it stores what it has learned.

Change: a connection ends with the incarnation that has accepted it. Before it is used, platform.Worker asks for a report on it, without a lease and without acknowledging ends, and compares the incarnation with the expected one. If they differ, nothing is sent; the owner learns of the restart and the task is placed anew at once. Carriers do the same and report calls that they have not sent, which the owner took for possibly carried out. A renewal that was made before the owner learned of a restart is not sent to the new incarnation.

The check costs one call for each new connection, about two for each worker at a change of the owner. If it takes more than a third of the timeout, the call is given up and the next one uses the connection; a worker that ends each connection after one answer is called without a check. Clients are closed with their worker, incarnation and term, since connections are no longer shared by terms.

--- a/carrier/message.go
+++ b/carrier/message.go
@@ -58,17 +58,23 @@
 	case errors.As(err, &status):
 		r.Status, r.Reason = int32(status.Status), status.Reason
 	default:
-		r.Failure = err.Error()
+		r.Failure, r.Unsent = err.Error(), platform.IsNotSent(err)
+		current, _ := platform.OtherIncarnation(err)
+		r.Incarnation = int64(current)
 	}
 }
 
 // errorOf returns the error in the result of a call; nil if the worker has confirmed the call.
-func errorOf(r *Result, member, call string) error {
+func errorOf(r *Result, member, call string, target *platform.Worker) error {
 	switch {
 	case r.Expired:
 		return &LostError{Carrier: member, Cause: errExpired}
 	case r.Status != 0:
 		return &platform.StatusError{Call: call, Status: int(r.Status), Reason: r.Reason}
+	case r.Unsent && r.Incarnation != 0:
+		return &platform.NotSentError{Cause: &platform.IncarnationError{Worker: target.ID, Expected: target.Incarnation, Current: worker.Incarnation(r.Incarnation)}}
+	case r.Unsent:
+		return &platform.NotSentError{Cause: &platform.CallError{Call: call, Cause: errors.New(r.Failure)}}
 	case r.Failure != "":
 		return &platform.CallError{Call: call, Cause: errors.New(r.Failure)}
 	}
--- a/carrier/server.go
+++ b/carrier/server.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"maps"
 	"net"
 	"strconv"
 	"strings"
@@ -25,6 +26,8 @@
 	maxOpenCalls = 8192
 	// maxCallTime bounds a call to a worker.
 	maxCallTime = 5 * time.Second
+	// unusedClientTime is how long the client of a worker that gets no calls is kept.
+	unusedClientTime = time.Minute
 )
 
 // Server carries calls of owners to workers. The exported fields must be set before the first request.
@@ -69,9 +72,10 @@
 	context.AfterFunc(ctx, func() { _ = conn.Close() }) // ends the reading below
 	begin := s.Clock.Now()
 	s.Log.Info(eventServing, "epoch", epoch, "owner", conn.RemoteAddr().String())
-	session := &served{server: s, ctx: ctx, conn: conn, queues: map[string][]*permitted{}, wake: make(chan struct{}, 1)}
+	session := &served{server: s, ctx: ctx, conn: conn, queues: map[string][]*permitted{}, clients: map[string]*client{}, wake: make(chan struct{}, 1)}
 	go session.write()
 	err := session.read(bufio.NewReader(conn))
+	session.closeClients()
 	s.Log.Info(eventServed, "epoch", epoch, "took", s.Clock.Since(begin), "calls", session.callCount(), "cause", err)
 }
 
@@ -113,6 +117,8 @@
 	// not queued, since a worker may delay its response to them.
 	queues  map[string][]*permitted
 	results []*Result
+	// clients holds the clients of the workers that the session has called.
+	clients map[string]*client
 	// open is the number of calls without a result, total that of all calls.
 	open, total int
 }
@@ -214,7 +220,7 @@
 	o := p.order
 	ctx, cancel := s.server.Clock.WithTimeout(s.ctx, min(time.Duration(o.Timeout)*time.Millisecond, maxCallTime))
 	defer cancel()
-	w := &platform.Worker{ID: worker.ID(o.Worker), Address: instance.Address(o.Address), Client: s.server.Client}
+	w := s.clientOf(o)
 	token, run := worker.FencingToken(o.Token), task.RunNumber(o.Run)
 	if o.Kind == Kind_RENEWAL {
 		report, err := w.RenewLease(ctx, platform.Renewal{FencingToken: token, LastSeenEnd: worker.EndNumber(o.Seen), LeaseDeadline: worker.Clock(o.Deadline), MaxWait: time.Duration(o.Wait) * time.Millisecond, EndsOnly: o.Brief})
@@ -244,6 +250,41 @@
 	}
 }
 
+// client is the client of a worker, and when it was last used.
+type client struct {
+	platform.Worker
+	usedAt time.Time
+}
+
+// clientOf returns the client for the worker of an order, at the address and of the incarnation that the order names.
+func (s *served) clientOf(o *Order) *platform.Worker {
+	now := s.server.Clock.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.clients[o.Worker]
+	if c == nil || string(c.Address) != o.Address || int64(c.Incarnation) != o.Incarnation {
+		maps.DeleteFunc(s.clients, func(id string, other *client) bool {
+			isUnused := id == o.Worker || now.Sub(other.usedAt) > unusedClientTime
+			if isUnused {
+				other.Close()
+			}
+			return isUnused
+		})
+		c = &client{Worker: platform.Worker{ID: worker.ID(o.Worker), Address: instance.Address(o.Address), Incarnation: worker.Incarnation(o.Incarnation), FencingToken: worker.FencingToken(o.Token), Client: s.server.Client}}
+		s.clients[o.Worker] = c
+	}
+	c.usedAt = now
+	return &c.Worker
+}
+
+func (s *served) closeClients() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.clients {
+		c.Close()
+	}
+}
+
 // finish queues a result for the owner.
 func (s *served) finish(result *Result) {
 	s.mu.Lock()
--- a/carrier/session.go
+++ b/carrier/session.go
@@ -278,18 +278,18 @@
 // Worker sends calls to one worker through a session.
 type Worker struct {
 	Session *Session
-	Target  platform.Worker
+	Target  *platform.Worker
 }
 
 func (w *Worker) order(kind Kind, key task.Key, run task.RunNumber, token worker.FencingToken) *Order {
-	return &Order{Kind: kind, Worker: string(w.Target.ID), Address: string(w.Target.Address), Task: key.String(), Run: int64(run), Token: int64(token)}
+	return &Order{Kind: kind, Worker: string(w.Target.ID), Address: string(w.Target.Address), Incarnation: int64(w.Target.Incarnation), Task: key.String(), Run: int64(run), Token: int64(token)}
 }
 
 // confirm sends an order whose result is the worker's clock, if it is known, or an error.
 func (w *Worker) confirm(order *Order, payload string, timeout time.Duration, handle func(worker.Clock, error)) {
 	w.Session.send(order, payload, timeout, func(result *Result, err error) {
 		if err == nil {
-			err = errorOf(result, w.Session.member.ID, order.Kind.String()+" of "+order.Task)
+			err = errorOf(result, w.Session.member.ID, order.Kind.String()+" of "+order.Task, w.Target)
 		}
 		handle(worker.Clock(result.GetClock()), err)
 	})
@@ -323,13 +323,13 @@
 	}
 	outcomes := make(chan outcome, 1)
 	order := &Order{
-		Kind: Kind_RENEWAL, Worker: string(w.Target.ID), Address: string(w.Target.Address), Token: int64(r.FencingToken), Deadline: int64(r.LeaseDeadline),
+		Kind: Kind_RENEWAL, Worker: string(w.Target.ID), Address: string(w.Target.Address), Incarnation: int64(w.Target.Incarnation), Token: int64(r.FencingToken), Deadline: int64(r.LeaseDeadline),
 		Seen: int64(r.LastSeenEnd), Wait: r.MaxWait.Milliseconds(), Brief: r.EndsOnly,
 	}
 	w.Session.send(order, "", timeout, func(result *Result, err error) {
 		var o outcome
 		if o.err = err; err == nil {
-			o.err = errorOf(result, w.Session.member.ID, "renewal at "+order.Worker)
+			o.err = errorOf(result, w.Session.member.ID, "renewal at "+order.Worker, w.Target)
 		}
 		if o.err == nil {
 			o.report, o.err = reportOf(result)
--- a/carrier/session_test.go
+++ b/carrier/session_test.go
@@ -53,7 +53,7 @@
 }
 
 // startWorker starts a worker that answers calls with the given function and counts them.
-func startWorker(t *testing.T, answer http.HandlerFunc) (platform.Worker, *atomic.Int64) {
+func startWorker(t *testing.T, answer http.HandlerFunc) (*platform.Worker, *atomic.Int64) {
 	t.Helper()
 	var calls atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -61,7 +61,7 @@
 		answer(w, r)
 	}))
 	t.Cleanup(server.Close)
-	return platform.Worker{ID: "w", Address: instance.Address(strings.TrimPrefix(server.URL, "http://"))}, &calls
+	return &platform.Worker{ID: "w", Address: instance.Address(strings.TrimPrefix(server.URL, "http://"))}, &calls
 }
 
 func answerReport(w http.ResponseWriter, _ *http.Request) {
@@ -190,10 +190,10 @@
 	}()
 	s, err := dial(t, Member{ID: "silent", Address: instance.Address(listener.Addr().String())}, 1)
 	require.NoError(t, err)
-	err = start(&Worker{Session: s, Target: platform.Worker{ID: "w", Address: "127.0.0.1:1"}})
+	err = start(&Worker{Session: s, Target: &platform.Worker{ID: "w", Address: "127.0.0.1:1"}})
 	require.True(t, IsLost(err), "%v", err)
 	require.False(t, s.IsOpen())
-	require.True(t, IsLost(start(&Worker{Session: s})), "a call through a session that has ended")
+	require.True(t, IsLost(start(&Worker{Session: s, Target: &platform.Worker{}})), "a call through a session that has ended")
 }
 
 // TestSilentSessionKept guards against sessions that stay at a carrier for good because their connection went silent, and
@@ -281,3 +281,19 @@
 	require.NotNil(t, Assign(sessions, "w", "elsewhere"))
 	require.Nil(t, Assign(nil, "w", "a"))
 }
+
+// TestCarriedStartReachesNextIncarnation guards against a start that a carrier sends to a later incarnation of the worker, and against
+// one that the owner takes for possibly carried out although the carrier has not sent it.
+func TestCarriedStartReachesNextIncarnation(t *testing.T) {
+	s, err := dial(t, startCarrier(t), 1)
+	require.NoError(t, err)
+	target, calls := startWorker(t, answerReport)
+	target.Incarnation = 5
+	err = start(&Worker{Session: s, Target: target})
+	current, _ := platform.OtherIncarnation(err)
+	require.EqualValues(t, 7, current, "%v", err)
+	require.True(t, platform.IsNotSent(err))
+	require.EqualValues(t, 1, calls.Load(), "the check")
+	err = start(&Worker{Session: s, Target: &platform.Worker{ID: "w", Address: "127.0.0.1:1"}})
+	require.True(t, platform.IsNotSent(err), "%v", err)
+}
--- a/dispatch/carriers.go
+++ b/dispatch/carriers.go
@@ -151,7 +151,7 @@
 		return nil
 	}
 	d.counters.CarriedCalls++
-	return &carrier.Worker{Session: session, Target: *s.client}
+	return &carrier.Worker{Session: session, Target: s.client}
 }
 
 // sessionOf returns the session that carries the calls to a worker; nil if there is none.
@@ -173,9 +173,15 @@
 	}
 }
 
-// renew sends a renewal to a worker, through its carrier if there is one, and returns the report.
+// renew sends a renewal to a worker, through its carrier if there is one, and returns the report. It sends nothing if another
+// incarnation of the worker has become known since the renewal was made.
 func (d *Dispatcher) renew(ctx context.Context, s *workerState, renewal platform.Renewal, timeout time.Duration) (worker.Report, error) {
 	d.mu.Lock()
+	if renewal.Incarnation != 0 && renewal.Incarnation != s.incarnation {
+		current := s.incarnation
+		d.mu.Unlock()
+		return worker.Report{}, &platform.NotSentError{Cause: &platform.IncarnationError{Worker: s.id, Expected: renewal.Incarnation, Current: current}}
+	}
 	via, client := d.carrierOf(s), s.client
 	d.mu.Unlock()
 	if via != nil {
--- a/dispatch/dispatch.go
+++ b/dispatch/dispatch.go
@@ -310,6 +310,7 @@
 	if err != nil {
 		return err
 	}
+	defer d.closeClients()
 	go d.runMaintenance()
 	go d.runAdviceRequests()
 	go d.runCarriers()
--- a/dispatch/placement.go
+++ b/dispatch/placement.go
@@ -150,6 +150,7 @@
 		_, listed := d.registrations[s.id]
 		if !listed && len(s.runs) == 0 && s.storedEnd == s.reportedEnd {
 			s.cancel()
+			s.client.Close()
 			delete(d.workers, s.id)
 		}
 	}
--- a/dispatch/registration.go
+++ b/dispatch/registration.go
@@ -137,7 +137,7 @@
 	}
 	d.checkIncarnation(s, previous.Incarnation, registration.Incarnation)
 	if registration.Address != s.registration.Address {
-		s.client = &platform.Worker{ID: registration.ID, Address: registration.Address, Client: d.workerClient}
+		d.connect(s, registration.Address)
 	}
 	s.registration = registration
 	s.rack = rackLabel(registration.Labels)
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -62,7 +62,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	renewal := platform.Renewal{FencingToken: worker.FencingToken(d.epoch), LastSeenEnd: s.storedEnd}
+	renewal := platform.Renewal{Incarnation: s.incarnation, FencingToken: worker.FencingToken(d.epoch), LastSeenEnd: s.storedEnd}
 	switch {
 	case !s.tokenAcknowledged || s.incarnation == 0:
 		if s.lease.HasClock() {
@@ -154,6 +154,10 @@
 		d.avoidCarrier(s, err)
 		return minRenewalPause // the worker is not known to be silent
 	}
+	if current, ok := platform.OtherIncarnation(err); ok {
+		d.handleOtherIncarnation(s, current, sent)
+		return minRenewalPause
+	}
 	if err != nil {
 		return d.recordFailedRenewal(s, err, now)
 	}
@@ -183,6 +187,13 @@
 	return 0
 }
 
+// handleOtherIncarnation processes a call, made at the given time, that was not sent because another incarnation of the worker answers.
+func (d *Dispatcher) handleOtherIncarnation(s *workerState, current worker.Incarnation, sent time.Time) {
+	if current != s.incarnation && !s.isOutdated(worker.Report{Incarnation: current}, sent) {
+		d.handleRestart(s, current)
+	}
+}
+
 // isOutdated reports whether a report that was requested at the given time comes from an earlier incarnation of the worker.
 // Its start time does not show that, since clocks may jump.
 func (s *workerState) isOutdated(report worker.Report, sent time.Time) bool {
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -162,11 +162,14 @@
 	now := d.clock.Now()
 	d.checkClock(r, s, clock, now)
 	refusal, refused := platform.WorkerRefusal(err)
-	if !refused && (err != nil || d.runs[r.id] != r) {
-		d.watchForLateStart(r, s, now)
-	}
-	if platform.IsNotSent(err) {
+	switch {
+	case refused:
+	case platform.IsNotSent(err):
 		refusal, refused = worker.RefusedUnreachable, true
+		s.runsListedAt = time.Time{} // the worker is asked whether it has restarted
+		s.requestRenewal()
+	case err != nil || d.runs[r.id] != r:
+		d.watchForLateStart(r, s, now)
 	}
 	if d.runs[r.id] != r || r.phase != phaseStarting {
 		return
@@ -188,11 +191,16 @@
 		return
 	}
 	d.counters.RefusedStarts++
-	d.log.Info(eventStartRefused, "task", r.id.key.String(), "run", r.id.number, "worker", s.id, "reason", refusal)
+	d.log.Info(eventStartRefused, "task", r.id.key.String(), "run", r.id.number, "worker", s.id, "reason", refusal, "error", err)
 	if refusal == worker.RefusedWrongIncarnation {
 		d.endIncarnation(s, now)
 		return
 	}
+	if current, ok := platform.OtherIncarnation(err); ok {
+		d.removeRun(r)
+		d.handleOtherIncarnation(s, current, r.startSentAt)
+		return
+	}
 	if refusal != worker.RefusedStaleRun {
 		s.suspectUntil = now.Add(suspectDuration)
 	}
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hibiscuslane.example/hibiscuslane/carrier"
+	"hibiscuslane.example/hibiscuslane/instance"
 	"hibiscuslane.example/hibiscuslane/platform"
 	"hibiscuslane.example/hibiscuslane/schedule"
 	"hibiscuslane.example/hibiscuslane/task"
@@ -138,9 +139,9 @@
 	ctx, cancel := context.WithCancel(d.ctx)
 	s := &workerState{
 		id: registration.ID, incarnation: registration.Incarnation, registration: registration, rack: rackLabel(registration.Labels), runs: map[runID]*run{},
-		client:          &platform.Worker{ID: registration.ID, Address: registration.Address, Client: d.workerClient},
 		renewalRequests: make(chan struct{}, 1), cancel: cancel, idleSince: d.clock.Now(), incarnationKnownAt: d.clock.Now(),
 	}
+	d.connect(s, registration.Address)
 	d.workers[registration.ID] = s
 	for _, r := range d.inheritedRuns[registration.Machine] {
 		if r.workerID == registration.ID && d.runs[r.id] == r {
@@ -157,6 +158,23 @@
 	return s
 }
 
+// connect makes further calls to a worker go to its present incarnation at the given address.
+func (d *Dispatcher) connect(s *workerState, address instance.Address) {
+	if s.client != nil {
+		s.client.Close()
+	}
+	s.client = &platform.Worker{ID: s.id, Address: address, Incarnation: s.incarnation, FencingToken: worker.FencingToken(d.epoch), Client: d.workerClient}
+}
+
+// closeClients closes the connections to all workers at the end of the term.
+func (d *Dispatcher) closeClients() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.workers {
+		s.client.Close()
+	}
+}
+
 // reserve adds a run to the worker and reserves capacity for it.
 func (s *workerState) reserve(r *run) {
 	s.runs[r.id] = r
@@ -211,8 +229,10 @@
 	if report.Incarnation != 0 && s.incarnation != report.Incarnation {
 		if s.incarnation != 0 {
 			d.handleRestart(s, report.Incarnation)
+		} else {
+			s.incarnation, s.incarnationKnownAt = report.Incarnation, now
+			d.connect(s, s.client.Address)
 		}
-		s.incarnation, s.incarnationKnownAt = report.Incarnation, now
 		d.checkInheritedRuns(s)
 	}
 	if report.Incarnation != 0 && !s.hasAnswered {
@@ -295,6 +315,7 @@
 		d.recordRestartCrash(s, append(lost, ended...), uncertain, now)
 	}
 	s.incarnation, s.incarnationKnownAt = incarnation, now
+	d.connect(s, s.client.Address)
 	s.tokenAcknowledged, s.hasAnswered, s.runsListedAt = false, false, time.Time{}
 	if len(uncertain) > 0 || now.Sub(s.lease.GrantedAt()) < lateStartTime {
 		d.extendLeaseBound(s.id, now.Add(maxLeaseLifetime+d.timing.MaxLease))
