dispatch: the next owner asks workers on which a start may take effect late

Callers would see two runs of one task at once: a start was not answered, the owner failed, the next one did not find the run on the worker and started the task elsewhere. The worker then restarted while the store was silent, and the start took effect on the new incarnation (up to 12 s after it was sent), which has not seen the higher token. Nobody asked it: an idle worker is asked only once its registration has changed.

Evidence: by reading; TestLateStartForgottenByNextOwner fails without the change.

Change: starts of earlier owners that are not found on their worker are watched as unanswered ones of this term are, until 15 s after the term began. Left is the time until the owner reaches the new incarnation.

--- a/dispatch/late_test.go
+++ b/dispatch/late_test.go
@@ -179,3 +179,23 @@
 	d.checkLateStarts(d.clock.Now().Add(2 * lateStartTime))
 	require.Empty(t, d.lateStarts)
 }
+
+// TestLateStartForgottenByNextOwner guards against a task that runs twice at once: its start was not answered, the owner failed, and the
+// next one does not find the run on the worker and starts the task elsewhere. If the worker then restarts while the store is silent,
+// the start may take effect on the new incarnation, which has not seen the higher token, and nobody asks an idle worker.
+func TestLateStartForgottenByNextOwner(t *testing.T) {
+	s := &keyedStore{}
+	d, _ := newLeaseOwner(t, s, 1, 1000)
+	r := placeLongRunning(t, d, "00000000000000aa")
+	next, w := newLeaseOwner(t, s, 2, 1000)
+	answer(next, w, 1000)
+	require.NotContains(t, next.runs, r.id)
+	renewal, isAsked := next.nextRenewal(w)
+	require.True(t, isAsked, "the worker may restart")
+	require.Equal(t, maxReportDelay, renewal.MaxWait)
+	next.mu.Lock()
+	next.checkLateStarts(next.termStart.Add(lateStartTime + time.Millisecond))
+	next.mu.Unlock()
+	_, isAsked = next.nextRenewal(w)
+	require.False(t, isAsked, "the start can no longer take effect")
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -262,6 +262,10 @@
 	case hasEnded && r.worker.hasMoreEnds:
 		// A later report may list the end of the run, with its result.
 	case hasEnded:
+		if r.phase == phaseUnconfirmed && r.id.number < d.firstRunNumber() {
+			r.incarnation = r.worker.incarnation // it has seen the token of this term, but a later one has not
+			d.watchForLateStart(r, r.worker, d.termStart)
+		}
 		d.endLostRun(r, cause, now)
 	case r.phase == phaseStopping, r.phase == phaseUnconfirmed && now.Sub(r.startSentAt) > startConfirmTimeout:
 		d.sendStop(r, now)
