dispatch: a ticket holds for the incarnation that was asked about

Callers would see tasks of a queue with advice wait until a ticket expires: the worker restarted while the advice service handled the request (up to 3 s), and the owner kept the ticket as one of the later incarnation, which rejects it.

Evidence: by reading; TestTicketOfEarlierIncarnation fails without the change.

Change: a ticket belongs to the incarnation that was known when the request was sent. The service is asked again about a worker that has restarted since.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -144,6 +144,7 @@
 	callCtx, cancel := d.clock.WithTimeout(d.ctx, adviceTimeout)
 	defer cancel()
 	sent := d.clock.Now()
+	asked := d.incarnationsOf(request.workers)
 	step := stepName(request.advice.step)
 	tickets, validity, err := d.advisor.Advise(callCtx, step, request.workers)
 	d.mu.Lock()
@@ -154,15 +155,11 @@
 		d.requestCycle()
 		return false
 	}
-	for _, id := range request.workers {
-		s := d.workers[id]
-		if s == nil {
-			continue
-		}
-		request.advice.askedIncarnations[id] = s.incarnation
+	for id, incarnation := range asked {
+		request.advice.askedIncarnations[id] = incarnation
 		delete(request.advice.tickets, id)
 		if text, ok := tickets[id]; ok {
-			request.advice.tickets[id] = ticket{text: text, incarnation: s.incarnation, expiresAt: sent.Add(validity)}
+			request.advice.tickets[id] = ticket{text: text, incarnation: incarnation, expiresAt: sent.Add(validity)}
 		}
 	}
 	d.log.Info(eventAdviceReceived, "step", step, "asked", len(request.workers), "good", len(tickets), "valid", validity)
@@ -170,6 +167,20 @@
 	return true
 }
 
+// incarnationsOf returns the present incarnations of those of the given workers that are known. A worker may restart while the
+// service handles a request.
+func (d *Dispatcher) incarnationsOf(ids []worker.ID) map[worker.ID]worker.Incarnation {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	incarnations := map[worker.ID]worker.Incarnation{}
+	for _, id := range ids {
+		if s := d.workers[id]; s != nil {
+			incarnations[id] = s.incarnation
+		}
+	}
+	return incarnations
+}
+
 // ticketForStart returns the ticket for the start order of a run. It is empty if the queue needs none, or if the
 // service issued none for the worker when it was last asked.
 func (d *Dispatcher) ticketForStart(r *run) string {
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -105,3 +105,29 @@
 		require.Fail(t, "the request goes on")
 	}
 }
+
+// TestTicketOfEarlierIncarnation guards against starts that a worker rejects until their ticket expires: it restarted while the advice
+// service handled the request, and the ticket, which holds for the earlier incarnation only, was kept as one of the later.
+func TestTicketOfEarlierIncarnation(t *testing.T) {
+	clock := &timer.Service{}
+	var d *Dispatcher
+	var j *job
+	asked := 0
+	d, j = newAdvisedOwner(t, clock, func(w http.ResponseWriter, _ *http.Request) {
+		asked++
+		_, _ = fmt.Fprintf(w, `{"good":[["w1","t%d"]],"valid_ms":60000}`, asked)
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.workers["w1"].incarnation = 2000
+	})
+	addReadyWorker(d, "w1", "desk")
+	d.workers["w1"].incarnation = 1000
+	d.pendingSteps(clock.Now())
+	require.True(t, d.requestAdvice(<-d.adviceRequests))
+	pending := d.pendingSteps(clock.Now())[j.Pool]
+	require.Empty(t, pending[0].Tickets, "the ticket was issued before the restart or after it")
+	require.Len(t, d.adviceRequests, 1, "the service is asked again")
+	require.True(t, d.requestAdvice(<-d.adviceRequests))
+	pending = d.pendingSteps(clock.Now())[j.Pool]
+	require.Equal(t, map[worker.ID]string{"w1": "t2"}, pending[0].Tickets)
+}
