dispatch: a ticket that a worker rejects is not used again

Callers would see tasks wait until the ticket expires: the advice service may know a restart later than the owner and issue a ticket for the earlier incarnation.

Evidence: by reading; TestRejectedTicket fails without the change.

Change: a rejected ticket counts as expired, so that the service is asked again.

--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -191,6 +191,18 @@
 	return a.tickets[r.workerID].text
 }
 
+// rejectTicket makes the owner ask the service again, because the worker of a run has rejected the ticket.
+func (d *Dispatcher) rejectTicket(r *run) {
+	a := d.adviceByStep[stepKey(r.id.key)]
+	if a == nil {
+		return
+	}
+	if t, ok := a.tickets[r.workerID]; ok {
+		t.expiresAt = time.Time{}
+		a.tickets[r.workerID] = t
+	}
+}
+
 // dropUnneededAdvice drops the advice of steps of which no task is started any more.
 func (d *Dispatcher) dropUnneededAdvice() {
 	for step := range d.adviceByStep {
--- a/dispatch/advice_test.go
+++ b/dispatch/advice_test.go
@@ -131,3 +131,22 @@
 	pending = d.pendingSteps(clock.Now())[j.Pool]
 	require.Equal(t, map[worker.ID]string{"w1": "t2"}, pending[0].Tickets)
 }
+
+// TestRejectedTicket guards against a task that waits until a ticket expires which the worker rejects: it was issued for an earlier
+// incarnation, and the service was not asked again.
+func TestRejectedTicket(t *testing.T) {
+	clock := &timer.Service{}
+	d, j := newAdvisedOwner(t, clock, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprint(w, `{"good":[["w1","t1"]],"valid_ms":60000}`)
+	})
+	addReadyWorker(d, "w1", "desk")
+	d.pendingSteps(clock.Now())
+	require.True(t, d.requestAdvice(<-d.adviceRequests))
+	s := d.workers["w1"]
+	r := &run{id: runID{key: task.Key{Job: j.ID}, number: d.firstRunNumber()}, job: j, step: &j.Spec.Steps[0], worker: s, workerID: s.id, phase: phaseStarting}
+	d.runs[r.id] = r
+	s.reserve(r)
+	d.handleStartResult(r, s, 0, &platform.StatusError{Status: http.StatusConflict, Reason: "ticket"})
+	require.Empty(t, d.pendingSteps(clock.Now().Add(time.Second))["desk"][0].Tickets)
+	require.Len(t, d.adviceRequests, 1)
+}
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -201,6 +201,9 @@
 		d.handleOtherIncarnation(s, current, r.startSentAt)
 		return
 	}
+	if refusal == worker.RefusedInvalidTicket {
+		d.rejectTicket(r)
+	}
 	if refusal != worker.RefusedStaleRun {
 		s.suspectUntil = now.Add(suspectDuration)
 	}
