slot, entry: leases of an entry that has started again end

Callers of "hibiscuslane serve" would see a pool with fewer slots than it has, for good: an entry that held slots crashed and started again within the 3 s after which it counts as silent. Its new process reports only the pools for which it has requests.

Change: an owner ends the leases of incarnations other than the one that has reported last, once they are older than reportGrace.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -195,7 +195,7 @@
 	capacity := poolCapacity{table: e.table, settings: e.siteSettings}
 	e.slotServer = &slot.Server{
 		Self: e.self.Entry, Incarnation: e.self.Incarnation, Capacity: capacity, Timer: e.timer, Events: e.events,
-		IsEntryGone: e.group.IsSilent,
+		IsEntryGone: e.group.IsSilent, CurrentIncarnation: e.group.Incarnation,
 	}
 	e.slotClient = &slot.Client{
 		Self: e.self.Entry, Incarnation: e.self.Incarnation, Local: e.slotServer, Ranking: e.group,
--- a/member/member.go
+++ b/member/member.go
@@ -284,6 +284,17 @@
 	return state == nil || g.isSilentLocked(state)
 }
 
+// Incarnation returns the incarnation of a peer that has reported last; zero if none has.
+func (g *Group) Incarnation(id instance.ID) instance.Incarnation {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state := g.peers[id]
+	if state == nil {
+		return 0
+	}
+	return instance.Incarnation(state.status.GetIncarnation())
+}
+
 // LiveEntries returns the live entries in ascending order, including this entry.
 func (g *Group) LiveEntries() []instance.ID {
 	g.mu.Lock()
--- a/slot/owner.go
+++ b/slot/owner.go
@@ -56,9 +56,11 @@
 }
 
 type lease struct {
-	target    *targetLoad
-	holder    instance.ID
-	grantedAt time.Time
+	target *targetLoad
+	holder instance.ID
+	// incarnation is that of the holder; zero for an inherited lease.
+	incarnation instance.Incarnation
+	grantedAt   time.Time
 	// inherited marks a lease that a former owner granted and that its holder has reported.
 	inherited bool
 }
@@ -259,6 +261,17 @@
 	o.assignFreeSlots(now)
 }
 
+// RemoveEarlierIncarnations removes the leases of incarnations of an entry other than the current one, which reports only the pools
+// that it has requests for. Leases that are younger than reportGrace may be those of an incarnation that is not known yet.
+func (o *Owner) RemoveEarlierIncarnations(now time.Time, holder instance.ID, current instance.Incarnation) {
+	for id, l := range o.leases {
+		if l.holder == holder && l.incarnation != 0 && l.incarnation != current && now.Sub(l.grantedAt) > reportGrace {
+			o.removeLease(id, l)
+		}
+	}
+	o.assignFreeSlots(now)
+}
+
 // ExpireAndAssign fails the waiting requests whose deadline has passed and grants the slots of targets
 // that are no longer blocked. It is called periodically.
 func (o *Owner) ExpireAndAssign(now time.Time) {
@@ -283,15 +296,15 @@
 		if target == nil {
 			target = o.pickTarget(now, nil)
 		}
-		w.deliver(o.grantSlot(now, target, w.id.Entry), nil)
+		w.deliver(o.grantSlot(now, target, w.id), nil)
 	}
 }
 
-func (o *Owner) grantSlot(now time.Time, target *targetLoad, holder instance.ID) Grant {
+func (o *Owner) grantSlot(now time.Time, target *targetLoad, ticket TicketID) Grant {
 	o.leaseCount++
 	o.rotation++
 	id := LeaseID(o.leasePrefix() + strconv.FormatUint(o.leaseCount, 36))
-	o.leases[id] = &lease{target: target, holder: holder, grantedAt: now}
+	o.leases[id] = &lease{target: target, holder: ticket.Entry, incarnation: ticket.Incarnation, grantedAt: now}
 	target.leased++
 	return Grant{LeaseID: id, Pool: o.Pool, Target: target.id}
 }
--- a/slot/server.go
+++ b/slot/server.go
@@ -27,6 +27,8 @@
 	Events      event.Log
 	// IsEntryGone reports whether an entry has been silent for so long that its leases end.
 	IsEntryGone func(entry instance.ID) bool
+	// CurrentIncarnation returns the incarnation of an entry that has reported last, or zero if it is not known. It may be nil.
+	CurrentIncarnation func(entry instance.ID) instance.Incarnation
 
 	mu     sync.Mutex
 	owners map[pool.Name]*lockedOwner
@@ -117,14 +119,26 @@
 		owner.MaxQueued = spec.MaxQueued
 		owner.SetTargets(now, usable, spec.Slots)
 		for _, entry := range owner.activeEntries() {
-			if entry != s.Self && s.IsEntryGone(entry) {
+			if entry == s.Self {
+				continue
+			}
+			if s.IsEntryGone(entry) {
 				owner.RemoveEntry(now, entry)
+			} else if current := s.currentIncarnation(entry); current != 0 {
+				owner.RemoveEarlierIncarnations(now, entry, current)
 			}
 		}
 		owner.ExpireAndAssign(now)
 	})
 }
 
+func (s *Server) currentIncarnation(entry instance.ID) instance.Incarnation {
+	if s.CurrentIncarnation == nil {
+		return 0
+	}
+	return s.CurrentIncarnation(entry)
+}
+
 // Usage returns the usage of all pools that this entry owns or has owned.
 func (s *Server) Usage() []Usage {
 	var usages []Usage
