member: an entry whose clock was set back counts as live again

Callers of "hibiscuslane serve" would see requests refused by full targets: the incarnation of an entry is its start time. If its clock was set back before it started again, its reports counted as late ones of an earlier incarnation until the platform's list dropped it. To all others it was silent: the leases of its requests ended every 100 ms while they ran.

Evidence: by reading; TestEntryWithEarlierClock fails without the change.

Change: a report of an earlier incarnation counts once the later one is silent.

--- a/member/member.go
+++ b/member/member.go
@@ -232,8 +232,8 @@
 	return g.Status(), nil
 }
 
-// RecordStatus records a status report. Reports of an earlier incarnation are ignored. A report of an unlisted entry
-// only makes this entry read the list sooner.
+// RecordStatus records a status report. Reports of an earlier incarnation are ignored until the later one is silent: the clock of an
+// entry may be set back before it starts again. A report of an unlisted entry only makes this entry read the list sooner.
 func (g *Group) RecordStatus(status *peer.Status) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -243,7 +243,7 @@
 		g.hasUnlistedPeer = g.hasUnlistedPeer || status.GetEntry() != string(g.Self)
 		return
 	}
-	if state.status != nil && status.GetIncarnation() < state.status.GetIncarnation() {
+	if state.status != nil && status.GetIncarnation() < state.status.GetIncarnation() && !g.isSilentLocked(state) {
 		return
 	}
 	state.status = status
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -70,3 +70,17 @@
 		}
 	}
 }
+
+// TestEntryWithEarlierClock guards against a working entry that counts as silent for good, so that its leases of slots end while its
+// requests run: its clock was set back before it started again, and its reports counted as those of an earlier incarnation.
+func TestEntryWithEarlierClock(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1_000_000, 0))
+	g := newGroup(clock, "1")
+	g.RecordStatus(&peer.Status{Entry: "2", Incarnation: 2})
+	for range 5 {
+		clock.Advance(time.Second)
+		g.RecordStatus(&peer.Status{Entry: "2", Incarnation: 1})
+	}
+	require.False(t, g.IsSilent("2"))
+	require.Equal(t, []instance.ID{"1", "2"}, g.LiveEntries())
+}
