worker: a clock of zero counts as known

Callers would see tasks wait although a worker is free: a worker that answers the first call of an owner within a millisecond of its start reports a clock of 0, which was ignored. Without a clock it gets no tasks, and an idle worker is not asked again.

In the log of TestShrunkCapacity the worker was reached in the millisecond of its start, and the accepted job was never placed.

TestClockOfNewWorker fails without the change.

--- a/worker/lease.go
+++ b/worker/lease.go
@@ -27,7 +27,7 @@
 // RecordClock records the clock of a response that was received at the given local time. It ignores a clock that is
 // not later than the recorded one.
 func (l *Lease) RecordClock(clock Clock, received time.Time) {
-	if clock > l.lastClock {
+	if clock > l.lastClock || !l.HasClock() {
 		l.lastClock, l.receivedAt = clock, received
 	}
 }
--- a/worker/lease_test.go
+++ b/worker/lease_test.go
@@ -56,3 +56,11 @@
 	require.Equal(t, 3500*time.Millisecond, lease.Remaining(now.Add(time.Second)))
 	require.Equal(t, -500*time.Millisecond, lease.Remaining(now.Add(5*time.Second)))
 }
+
+// TestClockOfNewWorker guards against a worker that gets no tasks: it answered the first call within a millisecond of its start, with a
+// clock of zero, which counted as unknown, and an idle worker is not asked again.
+func TestClockOfNewWorker(t *testing.T) {
+	var l worker.Lease
+	l.RecordClock(0, time.Unix(100, 0))
+	require.True(t, l.HasClock())
+}
