dispatch: late starts are waited for on a worker that is lost after its restart

Callers would see two runs of one task at once: a start was not answered, its worker has restarted and is cut off before it confirms the stop of the run.

Runs on workers that have confirmed the stop, or on which the start has taken effect, do not wait longer than before.

--- a/dispatch/lease_test.go
+++ b/dispatch/lease_test.go
@@ -189,3 +189,25 @@
 	require.False(t, ok)
 	require.NotContains(t, d.runs, r.id, "the task is placed anew")
 }
+
+// TestLateStartOnLostWorker guards against a task that runs twice at once: its start was not answered, the worker has restarted and is
+// cut off before it confirms the stop, and carries the start out late. Its lease then begins only when the start takes effect.
+func TestLateStartOnLostWorker(t *testing.T) {
+	d, w := newLeaseOwner(t, &keyedStore{}, 1, 1000)
+	answer(d, w, 1000)
+	r := placeLongRunning(t, d, "00000000000000aa")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ctx = t.Context()
+	_, ok := d.prepareStart(r)
+	require.True(t, ok)
+	d.handleStartResult(r, w, 0, context.DeadlineExceeded)
+	d.applyRegistration(entryRecord("w", "desk", 2000))
+	w.unreachableSince = d.clock.Now()
+	require.False(t, d.hasLeaseExpired(w, r.startSentAt.Add(lateStartTime+testMaxLease)))
+	require.True(t, d.hasLeaseExpired(w, r.startSentAt.Add(lateStartTime+2*testMaxLease)))
+	for _, late := range d.lateStarts["w"] {
+		late.incarnation = 2000 // it has confirmed the stop
+	}
+	require.True(t, d.hasLeaseExpired(w, w.unreachableSince.Add(lateStartTime+testMaxLease)))
+}
