dispatch: an acknowledgement of ends is sent until it is answered

Each renewal repeated the number of the last end that was stored. One that is carried out late, on the next incarnation, makes it forget its own ends up to that number.

TestAcknowledgementCarriedOutLate fails without the change.

--- a/dispatch/incarnation_test.go
+++ b/dispatch/incarnation_test.go
@@ -112,3 +112,15 @@
 		}
 	}
 }
+
+// TestAcknowledgementCarriedOutLate guards against ends that nobody has read and a later incarnation forgets, because one of many
+// renewals that repeated an acknowledgement to the earlier one is carried out late: the tasks run again.
+func TestAcknowledgementCarriedOutLate(t *testing.T) {
+	d, s, _, _ := newRestart(t)
+	s.storedEnd = 5
+	renewal, _ := d.nextRenewal(s)
+	require.EqualValues(t, 5, renewal.LastSeenEnd)
+	s.ackedEnd = 5
+	renewal, _ = d.nextRenewal(s)
+	require.Zero(t, renewal.LastSeenEnd)
+}
--- a/dispatch/renewal.go
+++ b/dispatch/renewal.go
@@ -62,7 +62,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := d.clock.Now()
-	renewal := platform.Renewal{Incarnation: s.incarnation, FencingToken: worker.FencingToken(d.epoch), LastSeenEnd: s.storedEnd}
+	renewal := platform.Renewal{Incarnation: s.incarnation, FencingToken: worker.FencingToken(d.epoch)}
+	if s.storedEnd > s.ackedEnd {
+		// Not repeated once it is answered: a renewal that is carried out late makes the next incarnation forget its ends up to the number.
+		renewal.LastSeenEnd = s.storedEnd
+	}
 	switch {
 	case !s.tokenAcknowledged || s.incarnation == 0:
 		if s.lease.HasClock() {
