Revert "process: a member that has started again does not vote for the earlier one"

The review showed that a restarted member that reaches the owner did not count either (a test of it failed), and that an entry which takes over from a dead owner would wait 3 s if all named members had just started again.

--- a/process/peers.go
+++ b/process/peers.go
@@ -382,7 +382,7 @@
 		go func() {
 			response, err := p.sendHeartbeat(ctx, election.Member(m), heartbeatTimeout)
 			switch {
-			case err != nil || response.Self != m: // a process that has just started may not have found the owner yet
+			case err != nil:
 				votes <- election.VoteNone
 			case response.Owner == string(owner) && response.Silence >= 0 && response.Silence < heartbeatPeriod.Milliseconds()+heartbeatTimeout.Milliseconds():
 				votes <- election.VoteAlive
