slot: inherited leases of an entry that has started again end, too

Callers of "hibiscuslane serve" would see a pool with fewer slots for good: ends the leases of earlier incarnations, but those that a former owner had granted and the holder reported did not name one.

TestInheritedLeasesOfRestartedEntry fails without the change.

--- a/entry/restart_test.go
+++ b/entry/restart_test.go
@@ -45,3 +45,26 @@
 		return e.slotServer.Usage()[0].Used == 0
 	}, time.Second, time.Millisecond, "the process that held the slot has ended")
 }
+
+// TestInheritedLeasesOfRestartedEntry guards against the same for leases that a former owner granted: the holder reported them to this
+// owner before it crashed.
+func TestInheritedLeasesOfRestartedEntry(t *testing.T) {
+	clock := timer.NewManual(time.Unix(1_000_000, 0))
+	e := &Entry{timer: &clock.Service, group: &member.Group{Self: "1", Clients: &peer.Clients{}, Timer: &clock.Service}}
+	e.group.SetList([]upstream.Instance{{ID: "1", Kind: instance.KindEntry}, {ID: "2", Kind: instance.KindEntry}})
+	e.createReplicas()
+	e.createRequestHandler()
+	e.slotServer.Capacity = onePool{}
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _ = e.slotServer.Run(ctx) }() // ends with the test
+	e.group.RecordStatus(&peer.Status{Entry: "2", Incarnation: 1})
+	_, err := e.slotServer.Release(ctx, &peer.Returns{Entry: "2", Incarnation: 1, Pool: "web", Complete: true, Held: []*peer.Grant{{Lease: "former-1", Pool: "web", Target: "a"}}})
+	require.NoError(t, err)
+	require.Equal(t, 1, e.slotServer.Usage()[0].Used)
+	require.Eventually(t, func() bool {
+		e.group.RecordStatus(&peer.Status{Entry: "2", Incarnation: 2})
+		clock.Advance(100 * time.Millisecond)
+		return e.slotServer.Usage()[0].Used == 0
+	}, time.Second, time.Millisecond, "the process that held the slot has ended")
+}
--- a/slot/client.go
+++ b/slot/client.go
@@ -381,7 +381,7 @@
 	}
 	p.mu.Unlock()
 	if owner == c.Self {
-		c.Local.reconcileHeld(name, c.Self, grants)
+		c.Local.reconcileHeld(name, c.Self, c.Incarnation, grants)
 		return
 	}
 	if err := c.callRelease(owner, &peer.Returns{Pool: string(name), Held: grants, Complete: true}); err != nil {
--- a/slot/owner.go
+++ b/slot/owner.go
@@ -212,7 +212,7 @@
 // ReconcileLeases brings the leases of a holder in line with its report. It adds leases that a former
 // owner granted, and removes leases that the holder does not have because a grant or a release was
 // lost in transit. An inherited lease has been in an earlier report, so it needs no reportGrace.
-func (o *Owner) ReconcileLeases(now time.Time, holder instance.ID, held []Grant) {
+func (o *Owner) ReconcileLeases(now time.Time, holder instance.ID, incarnation instance.Incarnation, held []Grant) {
 	reported := make(map[LeaseID]bool, len(held))
 	for _, grant := range held {
 		if grant.Pool != o.Pool {
@@ -221,7 +221,7 @@
 		reported[grant.LeaseID] = true
 		target := o.loads[grant.Target]
 		if o.leases[grant.LeaseID] == nil && target != nil && !o.isOwnLease(grant.LeaseID) {
-			o.leases[grant.LeaseID] = &lease{target: target, holder: holder, grantedAt: now, inherited: true}
+			o.leases[grant.LeaseID] = &lease{target: target, holder: holder, incarnation: incarnation, grantedAt: now, inherited: true}
 			target.leased++
 		}
 	}
--- a/slot/server.go
+++ b/slot/server.go
@@ -227,7 +227,7 @@
 	name, entry := pool.Name(r.GetPool()), instance.ID(r.GetEntry())
 	s.applyReturns(name, entry, instance.Incarnation(r.GetIncarnation()), r.GetReturns())
 	if r.GetComplete() {
-		s.reconcileHeld(name, entry, r.GetHeld())
+		s.reconcileHeld(name, entry, instance.Incarnation(r.GetIncarnation()), r.GetHeld())
 	}
 	return &peer.Empty{}, nil
 }
@@ -251,10 +251,10 @@
 	})
 }
 
-func (s *Server) reconcileHeld(name pool.Name, entry instance.ID, held []*peer.Grant) {
+func (s *Server) reconcileHeld(name pool.Name, entry instance.ID, incarnation instance.Incarnation, held []*peer.Grant) {
 	grants := make([]Grant, 0, len(held))
 	for _, g := range held {
 		grants = append(grants, Grant{LeaseID: LeaseID(g.GetLease()), Pool: name, Target: instance.ID(g.GetTarget())})
 	}
-	_ = s.withOwner(name, func(now time.Time, owner *Owner) { owner.ReconcileLeases(now, entry, grants) })
+	_ = s.withOwner(name, func(now time.Time, owner *Owner) { owner.ReconcileLeases(now, entry, incarnation, grants) })
 }
--- a/slot/simulation_test.go
+++ b/slot/simulation_test.go
@@ -321,7 +321,7 @@
 	for entry := range r.schedulers {
 		holder := instance.ID(fmt.Sprint(entry))
 		if holder != "4" {
-			r.owner.ReconcileLeases(r.clock(), holder, r.grantsOf(old, holder))
+			r.owner.ReconcileLeases(r.clock(), holder, 0, r.grantsOf(old, holder))
 		}
 		var waiting []TicketID
 		for id := range r.schedulers[entry].waiting.byID {
