--- a/dispatch/advice.go
+++ b/dispatch/advice.go
@@ -191,7 +191,7 @@
 	return a.tickets[r.workerID].text
 }
 
-// rejectTicket makes the owner ask the service again, because the worker of a run has rejected the ticket.
+// rejectTicket makes the owner ask the service again, because the worker of a run has rejected its ticket.
 func (d *Dispatcher) rejectTicket(r *run) {
 	a := d.adviceByStep[stepKey(r.id.key)]
 	if a == nil {
--- a/dispatch/late.go
+++ b/dispatch/late.go
@@ -21,15 +21,15 @@
 }
 
 // watchForLateStart makes the owner ask a worker for its runs, also if it has none, as long as the start of a run may take effect
-// there, and stop the run on each later incarnation.
-func (d *Dispatcher) watchForLateStart(r *run, s *workerState, now time.Time) {
+// there, and stop the run on each incarnation later than the given one. The start was sent before the given time.
+func (d *Dispatcher) watchForLateStart(r *run, s *workerState, incarnation worker.Incarnation, sentBefore time.Time) {
 	if d.lateStarts == nil {
 		d.lateStarts = map[worker.ID]map[runID]*lateStart{}
 	}
 	if d.lateStarts[s.id] == nil {
 		d.lateStarts[s.id] = map[runID]*lateStart{}
 	}
-	d.lateStarts[s.id][r.id] = &lateStart{until: now.Add(lateStartTime), incarnation: r.incarnation}
+	d.lateStarts[s.id][r.id] = &lateStart{until: sentBefore.Add(lateStartTime), incarnation: incarnation}
 	s.requestRenewal()
 }
 
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -169,7 +169,7 @@
 		s.runsListedAt = time.Time{} // the worker is asked whether it has restarted
 		s.requestRenewal()
 	case err != nil || d.runs[r.id] != r:
-		d.watchForLateStart(r, s, now)
+		d.watchForLateStart(r, s, r.incarnation, now)
 	}
 	if d.runs[r.id] != r || r.phase != phaseStarting {
 		return
@@ -267,8 +267,8 @@
 		// A later report may list the end of the run, with its result.
 	case hasEnded:
 		if r.phase == phaseUnconfirmed && r.id.number < d.firstRunNumber() {
-			r.incarnation = r.worker.incarnation // it has seen the token of this term, but a later one has not
-			d.watchForLateStart(r, r.worker, d.termStart)
+			// The incarnation has seen the token of this term, but a later one has not.
+			d.watchForLateStart(r, r.worker, r.worker.incarnation, d.termStart)
 		}
 		d.endLostRun(r, cause, now)
 	case r.phase == phaseStopping, r.phase == phaseUnconfirmed && now.Sub(r.startSentAt) > startConfirmTimeout:
