--- a/standin/fabric/caller.go
+++ b/standin/fabric/caller.go
@@ -30,6 +30,7 @@
 	CPU, Millis int
 	Counts      []int
 	Checkpoints bool // the tasks save checkpoints
+	LongRunning bool // the tasks are started again however they end, until the job is cancelled
 }
 
 // Spec returns the specification of the job, which names its id, if it has one.
@@ -55,6 +56,9 @@
 		if j.Checkpoints {
 			options += `,"checkpoints":true`
 		}
+		if j.LongRunning {
+			options += `,"long_running":true`
+		}
 		steps = append(steps, fmt.Sprintf(`{"count":%d,"cpu":%d,"mem_mb":100,"estimate_ms":%d%s}`, count, j.CPU, j.Millis, options))
 	}
 	return fmt.Sprintf(`{"spec":%q,"steps":[%s]}`, j.Spec(), strings.Join(steps, ","))
