--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -31,6 +31,8 @@
 	platform *fabric.Platform
 	entries  []*entry
 	pools    []string
+	// maxInterval is the longest time between a response to one of submitUntil and its next submission, in milliseconds.
+	maxInterval int
 	// followUps are the callers that cancel jobs or ask for states while their group submits further ones.
 	followUps sync.WaitGroup
 
@@ -72,12 +74,24 @@
 		select {
 		case <-stop:
 			return
-		case <-time.After(time.Duration(random.IntN(120)) * time.Millisecond):
+		case <-time.After(time.Duration(random.IntN(c.maxInterval)) * time.Millisecond):
 		}
 		c.submitJob(client, random)
 	}
 }
 
+// announceJob gives a job its id and announces it to the platform.
+func (c *callerGroup) announceJob(job *fabric.Job, pool string) *history {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.submitted++
+	job.ID = fabric.JobID(c.submitted)
+	h := &history{id: job.ID, path: "/" + pool + "/" + job.ID}
+	c.histories[job.ID] = h
+	c.platform.ExpectJob(*job)
+	return h
+}
+
 // submitJob submits one job of one or two steps. One in six callers does not wait for the response and cancels the job by
 // another entry. About half of the other jobs are cancelled soon after their acceptance, among them all long ones.
 func (c *callerGroup) submitJob(client *http.Client, random *rand.Rand) {
@@ -89,13 +103,7 @@
 	if cancels && random.IntN(5) == 0 {
 		job.Millis = 5000
 	}
-	c.mu.Lock()
-	c.submitted++
-	job.ID = fabric.JobID(c.submitted)
-	h := &history{id: job.ID, path: "/" + c.pools[random.IntN(len(c.pools))] + "/" + job.ID}
-	c.histories[job.ID] = h
-	c.mu.Unlock()
-	c.platform.ExpectJob(job)
+	h := c.announceJob(&job, c.pools[random.IntN(len(c.pools))])
 	followUpRandom := rand.New(rand.NewPCG(random.Uint64(), 2))
 	if random.IntN(6) == 0 {
 		if e := c.abandonSubmission(random, h, job.Body()); e != nil {
@@ -119,10 +127,10 @@
 }
 
 // cancel cancels a job by any entry but the given one. One in three callers cancels it again, and one in four submits the
-// job once more, as a repeated request that arrives late does.
-func (c *callerGroup) cancel(client *http.Client, random *rand.Rand, h *history, job fabric.Job, except *entry) {
+// job once more, as a repeated request that arrives late does. It reports whether the cancel was confirmed.
+func (c *callerGroup) cancel(client *http.Client, random *rand.Rand, h *history, job fabric.Job, except *entry) bool {
 	if !c.sendWithRetries(client, random, h, http.MethodDelete, "", except) {
-		return
+		return false
 	}
 	c.platform.RecordCancel(h.id)
 	for random.IntN(3) == 0 {
@@ -134,6 +142,7 @@
 		c.send(client, h, c.entries[random.IntN(len(c.entries))], http.MethodPost, job.Body())
 	}
 	c.askForState(client, random, h)
+	return true
 }
 
 // askForState asks for the state of a job twice.
--- a/soak/faults_test.go
+++ b/soak/faults_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"syscall"
 	"time"
 
@@ -12,16 +11,11 @@
 // reserveEntry picks a random entry, preferring the owner half of the time, and reserves it. It returns nil if the entry
 // is reserved already.
 func (s *soakRun) reserveEntry() (int, *entry) {
-	owner := s.Store.Value("keyed.owner", "owner")
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	index := s.random.IntN(len(s.entries))
-	if s.random.IntN(2) == 0 {
-		for i, e := range s.entries {
-			if strings.HasPrefix(owner, e.peerAddr+"/") {
-				index = i
-			}
-		}
+	if owner := s.ownerIndex(); s.random.IntN(2) == 0 && owner >= 0 {
+		index = owner
 	}
 	if s.reservedEntries[index] {
 		return 0, nil
@@ -59,6 +53,12 @@
 	if s.restartsWorkers {
 		faults = append(faults, s.restartAndCutWorkers, s.restartAndCutWorkers)
 	}
+	if s.replacesOwners { // and the workers keep their ids
+		faults = []func(){s.restartEntries, s.pauseEntry, s.injectStoreFault, s.makePartitionsUnavailable, s.injectConnectionFault, s.injectWorkerFault}
+		if s.random.IntN(5) > 0 {
+			faults = []func(){s.restartAndReplaceOwner}
+		}
+	}
 	if s.hasManyPauses {
 		faults = append(faults, s.pauseEntry, s.pauseEntry, s.pauseEntry, s.pauseSeries, s.pauseSeries)
 	}
@@ -299,5 +299,5 @@
 func (s *soakRun) publishConfiguration() {
 	s.lastVersion++
 	s.logFault("configuration version %d published", s.lastVersion)
-	s.PublishConfig(s.lastVersion, s.callers.pools, "spare")
+	s.PublishConfig(s.lastVersion, s.callers.pools, defaultLoad.sparePool)
 }
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -46,7 +46,10 @@
 	// lastPausingSeed is the last seed whose runs pause entries more often. Those of later ones restart workers instead, under
 	// their ids, and cut them off.
 	lastPausingSeed = 2000
-	// maxLease is the longest lease of the workers in these runs, as the entries are told.
+	// lastRestartingSeed is the last seed whose runs do so. Those of later ones also take the owner away in between, while long
+	// tasks run.
+	lastRestartingSeed = 3000
+	// maxLease is the longest lease of the workers, as the entries are told, up to that seed.
 	maxLease = 6 * time.Second
 	// regressionSeedsFile lists the seeds that have failed before, one per line, with the cause.
 	regressionSeedsFile = "testdata/seeds.txt"
@@ -85,10 +88,12 @@
 	pendingFaults   sync.WaitGroup
 	hasManyPauses   bool // entries are paused more often than other faults are injected
 	restartsWorkers bool // workers restart under their ids and are cut off, in place of changes of the longest lease
+	replacesOwners  bool // the same, and the owner is taken away in between, while long tasks run
 
 	mu              sync.Mutex
 	workerProxies   map[string]*proxy // keyed by machine
 	reservedEntries map[int]bool      // entries that are paused or being restarted
+	cutMachines     map[string]bool   // machines of workers that restart, or are cut off, by restartAndReplaceOwner
 	faultLog        []string
 	lastVersion     int // number of the last configuration or maintenance wave; used only by injectFault, without mu
 }
@@ -121,6 +126,23 @@
 	return p.address()
 }
 
+// load is what a run submits, and where.
+type load struct {
+	pools     []string
+	sparePool string // empty if there is none
+	machines  int
+	// maxInterval is the longest time between a response to a caller and its next submission, maxPause that between two faults, in
+	// milliseconds.
+	maxInterval, maxPause int
+}
+
+var (
+	defaultLoad = load{pools: []string{"desk", "gate"}, sparePool: "spare", machines: 10, maxInterval: 120, maxPause: 1500}
+	// longTaskLoad has one pool and no spare, so that no idle machine is moved, and leaves most workers idle: what they run otherwise
+	// shows a restart to the owner at once.
+	longTaskLoad = load{pools: []string{"desk"}, machines: 20, maxInterval: 1000, maxPause: 5000}
+)
+
 // carried makes an owner let other entries carry all calls to its workers, as in a large deployment.
 var carried = []string{"--direct", "0.001"}
 
@@ -129,27 +151,36 @@
 	path, err := buildBinary()
 	require.NoError(t, err)
 	directory := t.TempDir()
-	s := &soakRun{Platform: fabric.NewPlatform(), t: t, random: rand.New(rand.NewPCG(seed, 0)), workerProxies: map[string]*proxy{}, reservedEntries: map[int]bool{}, lastVersion: 1, hasManyPauses: seed > lastUniformSeed && seed <= lastPausingSeed, restartsWorkers: seed > lastPausingSeed}
+	s := &soakRun{Platform: fabric.NewPlatform(), t: t, random: rand.New(rand.NewPCG(seed, 0)), workerProxies: map[string]*proxy{}, reservedEntries: map[int]bool{}, lastVersion: 1, cutMachines: map[string]bool{}}
+	s.hasManyPauses = seed > lastUniformSeed && seed <= lastPausingSeed
+	s.restartsWorkers = seed > lastPausingSeed && seed <= lastRestartingSeed
+	s.replacesOwners = seed > lastRestartingSeed
 	s.MinHandoverInterval, s.ProxyAddress, s.ClockDrift = leaseDuration, s.proxyWorker, maxClockSlowdown
-	if s.restartsWorkers {
-		s.MaxLease = maxLease
+	load, lease := defaultLoad, maxLease
+	if s.replacesOwners {
+		load, lease, s.InitialClock = longTaskLoad, longMaxLease, workerUptime
+	}
+	if s.restartsWorkers || s.replacesOwners {
+		s.MaxLease = lease
 	}
 	if len(arguments) == 0 { // no other entry carries the calls of the owner
 		s.SenderOf = s.ownerOf
 	}
-	pools := []string{"desk", "gate"}
-	s.callers = &callerGroup{platform: s.Platform, pools: pools, histories: map[string]*history{}}
-	s.PublishConfig(1, pools, "spare")
-	for range 5 {
-		s.machines = append(s.machines, s.AddMachine("desk", machineMillicores, false), s.AddMachine("gate", machineMillicores, false))
+	s.callers = &callerGroup{platform: s.Platform, pools: load.pools, maxInterval: load.maxInterval, histories: map[string]*history{}}
+	s.PublishConfig(1, load.pools, load.sparePool)
+	for n := range load.machines {
+		s.machines = append(s.machines, s.AddMachine(load.pools[n%len(load.pools)], machineMillicores, false))
+	}
+	if load.sparePool != "" {
+		s.AddMachine(load.sparePool, machineMillicores, true)
 	}
-	s.AddMachine("spare", machineMillicores, true)
 	for n := range *entryCount {
 		s.entries = append(s.entries, newEntry(t, path, directory, n, s.StoreAddress, s.FleetAddress))
 	}
 	s.callers.entries = s.entries
 	for _, e := range s.entries {
 		e.arguments = arguments
+		e.writeSettings(map[string]float64{"max_hold_ms": float64(lease.Milliseconds())})
 		e.start()
 	}
 	defer func() {
@@ -169,7 +200,7 @@
 		callersDone.Go(func() { s.callers.submitUntil(seed*10+uint64(n), stop) })
 	}
 	for s.startedAt = time.Now(); time.Since(s.startedAt) < faultDuration; {
-		time.Sleep(s.randomDuration(50, 1500))
+		time.Sleep(s.randomDuration(50, load.maxPause))
 		s.injectFault()
 	}
 	s.pendingFaults.Wait()
@@ -188,11 +219,15 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// collectViolations waits, for at most settleTimeout, until all jobs are settled and no task runs, and returns the
+// collectViolations waits, for at most settleTimeout and the duration of a long task, until all jobs are settled and no task runs, and returns the
 // violations: broken invariants, unsettled jobs, responses that broke a promise, running tasks, and unexpected exits of entries.
 func (s *soakRun) collectViolations(client *http.Client, seed uint64, directory string) []string {
 	var unsettled []string
-	for deadline := time.Now().Add(settleTimeout); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
+	timeout := settleTimeout
+	if s.replacesOwners {
+		timeout += maxLongTask
+	}
+	for deadline := time.Now().Add(timeout); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
 		if unsettled = s.callers.unsettledJobs(client); len(unsettled) == 0 && len(s.RunningTasks()) == 0 {
 			break
 		}
@@ -224,7 +259,7 @@
 
 // TestShort checks the guarantees to callers under the faults of some fixed seeds.
 func TestShort(t *testing.T) {
-	for _, seed := range []uint64{1, 2, lastPausingSeed + 1} {
+	for _, seed := range []uint64{1, 2, lastPausingSeed + 1, seedOfIssue45} {
 		require.Empty(t, runSeed(t, seed), "seed %d", seed)
 	}
 }
