standin/fabric: an expired entry alone excuses no repeated task

The checker left out acknowledgements of ends while the entry of a worker had expired. The users' rules leave them out only if the lease has expired in between; both are required now.

--- a/standin/fabric/worker.go
+++ b/standin/fabric/worker.go
@@ -31,10 +31,9 @@
 	runs               map[string]*run // by task
 	unacknowledgedEnds [][]any         // rows of number, task, run, outcome and checkpoint, as they are reported
 	lastEnd            int64           // the number of the last end
-	// lastEndAtExpiry is the number of the last end when the lease last ended runs, or when the worker registered again after its
-	// entry had expired. Acknowledgements of ends up to it are not counted, because the entries may start a task again once the
-	// lease or the entry of its worker has expired. A lease that expires while nothing runs excuses nothing: ends that were
-	// reported before it are still to be acted on.
+	// lastEndAtExpiry is the number of the last end when the lease last ended runs, or expired while the entry of the worker had
+	// expired too. Acknowledgements of ends up to it are not counted, because the entries may start a task again then. A lease that
+	// expires while nothing runs on a registered worker excuses nothing: ends that were reported before it are still to be acted on.
 	lastEndAtExpiry int64
 	highestRun      map[string]int64 // by task, the highest run that was stopped or has ended; a new run must be higher
 	changed         chan struct{}    // closed and replaced when a run ends
@@ -160,9 +159,6 @@
 	case isConnected && w.isRegistered:
 		w.lastHeartbeat = now
 	case isConnected && !now.Before(w.registersAt):
-		if w.hasExpired {
-			w.lastEndAtExpiry = w.lastEnd
-		}
 		w.isRegistered, w.hasExpired, w.lastHeartbeat = true, false, now
 		w.platform.Store.Put("keyed.servers", w.ID, w.registration())
 	case !w.hasExpired && now.Sub(w.lastHeartbeat) > maxMissedHeartbeats*heartbeatInterval:
@@ -409,7 +405,7 @@
 func (w *Worker) expireLease() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.clockMS() < w.leaseEnd || len(w.runs) == 0 {
+	if w.clockMS() < w.leaseEnd || len(w.runs) == 0 && !w.hasExpired {
 		return
 	}
 	w.lastEndAtExpiry = w.lastEnd
@@ -429,7 +425,7 @@
 	}
 	w.extendLease(body.DeadlineMS)
 	for len(w.unacknowledgedEnds) > 0 && w.unacknowledgedEnds[0][0].(int64) <= body.LastSeen {
-		if !w.hasExpired && w.unacknowledgedEnds[0][0].(int64) > w.lastEndAtExpiry {
+		if w.unacknowledgedEnds[0][0].(int64) > w.lastEndAtExpiry {
 			end := w.unacknowledgedEnds[0]
 			w.platform.recordAcknowledgement(end[1].(string), end[2].(int64), end[3].(string))
 		}
