dispatch: a lease may be extended by any late order for an earlier incarnation

Callers would see two runs of one task at once: waits for late starts on a worker that is lost after its restart, but the entries that it reads are deleted when the start can no longer take effect, so that the longest lease that begins then never counted. Besides, a worker that has confirmed the stop of a run rejects its late start and still takes the deadline from it, and a late renewal extends the lease as well. Found by the review.

A worker that falls silent within 15 s of the last lease before its restart is now waited for until 15 s and the longest lease after that lease. Inherited runs of another incarnation are also looked at when a registration or a check of a connection shows the restart.

The cost: long-running tasks on workers that are lost soon after a restart stay away for up to 25 s.

--- a/dispatch/expiry.go
+++ b/dispatch/expiry.go
@@ -94,7 +94,7 @@
 func (d *Dispatcher) hasLeaseExpired(s *workerState, now time.Time) bool {
 	silence := now.Sub(s.unreachableSince)
 	switch {
-	case now.Before(d.extendedLeases[s.id].until), now.Before(d.lateLeaseEnd(s)):
+	case now.Before(d.extendedLeases[s.id].until), d.mayHoldLateLease(s, now):
 		return false
 	case !s.lease.HasClock():
 		return silence > d.timing.MaxLease+maxLeaseLifetime
@@ -104,19 +104,11 @@
 	return s.lease.IsExpired(now)
 }
 
-// lateLeaseEnd returns until when starts that were not answered before a worker has restarted may keep runs going there: the new
-// incarnation may carry them out late, as long as it has not confirmed the stops of these runs.
-func (d *Dispatcher) lateLeaseEnd(s *workerState) time.Time {
-	var end time.Time
-	for _, late := range d.lateStarts[s.id] {
-		if late.incarnation != s.incarnation {
-			end = latest(end, late.until)
-		}
-	}
-	if end.IsZero() {
-		return end
-	}
-	return end.Add(d.timing.MaxLease + d.timing.MaxLease/20)
+// mayHoldLateLease reports whether an order for an earlier incarnation of a worker may have taken effect late, after the worker fell
+// silent or shortly before. Such an order extends the lease even if it is rejected.
+func (d *Dispatcher) mayHoldLateLease(s *workerState, now time.Time) bool {
+	longest := d.timing.MaxLease + d.timing.MaxLease/20 // on a slow clock
+	return s.unreachableSince.Before(s.lateOrdersUntil) && now.Before(s.lateOrdersUntil.Add(longest))
 }
 
 // expireRuns ends the runs of a worker whose lease has certainly expired.
--- a/dispatch/run.go
+++ b/dispatch/run.go
@@ -224,7 +224,6 @@
 func (d *Dispatcher) confirmStart(r *run, now time.Time) {
 	r.startConfirmedAt = now
 	r.phase = phaseRunning
-	delete(d.lateStarts[r.workerID], r.id) // it has taken effect
 	d.counters.StartedRuns++
 	if r.job.Started {
 		return
--- a/dispatch/worker_state.go
+++ b/dispatch/worker_state.go
@@ -97,6 +97,8 @@
 	drainingForMaintenance bool
 	// closedSince is when the worker was closed to tasks so that its machine can be maintained; zero if it is open.
 	closedSince time.Time
+	// lateOrdersUntil is until when orders with a deadline for earlier incarnations may take effect.
+	lateOrdersUntil time.Time
 	// unattributedCrash is set while it is not known which runs a crash of the worker has ended.
 	unattributedCrash *crash
 }
@@ -232,8 +234,8 @@
 		} else {
 			s.incarnation, s.incarnationKnownAt = report.Incarnation, now
 			d.connect(s, s.client.Address)
+			d.checkInheritedRuns(s)
 		}
-		d.checkInheritedRuns(s)
 	}
 	if report.Incarnation != 0 && !s.hasAnswered {
 		s.hasAnswered = true
@@ -320,6 +322,9 @@
 	if len(uncertain) > 0 || now.Sub(s.lease.GrantedAt()) < lateStartTime {
 		d.extendLeaseBound(s.id, now.Add(maxLeaseLifetime+d.timing.MaxLease))
 	}
+	if s.lease.IsGranted() {
+		s.lateOrdersUntil = s.lease.GrantedAt().Add(lateStartTime)
+	}
 	s.lease = worker.Lease{}
 	s.reportedEnd, s.submittedEnd, s.storedEnd, s.ackedEnd, s.hasMoreEnds, s.orphanedRuns = 0, 0, 0, 0, false, nil
 	for _, r := range uncertain {
@@ -335,6 +340,7 @@
 		late.stop.sentAt = time.Time{}
 	}
 	d.stopLateStarts(s, now)
+	d.checkInheritedRuns(s)
 }
 
 // endIncarnation ends all runs of a worker whose incarnation is known to have ended: another incarnation or
