--- a/slot/owner.go
+++ b/slot/owner.go
@@ -58,7 +58,7 @@
 type lease struct {
 	target *targetLoad
 	holder instance.ID
-	// incarnation is that of the holder; zero for an inherited lease.
+	// incarnation is that of the holder; zero if the report that named an inherited lease did not name it.
 	incarnation instance.Incarnation
 	grantedAt   time.Time
 	// inherited marks a lease that a former owner granted and that its holder has reported.
