--- a/review/bed3/cases.go
+++ b/review/bed3/cases.go
@@ -207,3 +207,38 @@
 	defer b.mu.Unlock()
 	return wrong, nil
 }
+
+// playSuccessor lets an agent on the machine of an idle executor write one entry with missing fields under an id of its own. The
+// executor is the only one with the label that a job requires.
+func playSuccessor(b *bed, trouble bool) (string, error) {
+	const service, id = "pledges", "00000000000000d4"
+	if err := b.deploy(map[string]int{service: 3}); err != nil {
+		return "", err
+	}
+	e, err := b.addExecutor(service, "b")
+	if err != nil {
+		return "", err
+	}
+	time.Sleep(settleTime)
+	if trouble {
+		entry, _ := json.Marshal(map[string]any{
+			"service": service, "address": b.prefix + ".250:9", "state": "ready", "capacity": map[string]int64{"cpu": 16000, "mem_mb": 65536, "gpu": 0},
+			"machine": e.machine, "born": time.Now().UnixMilli(),
+		})
+		b.rec.log("another writer writes servers/agent-1: %s", entry)
+		b.store.Put("keyed.servers", "agent-1", entry)
+		time.Sleep(settleTime)
+	}
+	s := step(1, 880, 1000)
+	s["requirements"] = "b"
+	accepted := time.Now()
+	if err := b.submit(b.daemons[0], service, id, map[string]any{"spec": "ms=1000", "steps": []any{s}}); err != nil {
+		return "", err
+	}
+	state := b.awaitEnd(service, id, 45*time.Second)
+	if state != "completed" {
+		return fmt.Sprintf("LOST: %s after it was accepted, the job is shown as %q and its task was started %d times; %s with the label b is idle",
+			time.Since(accepted).Round(time.Second), state, len(b.runsOf(id+".0.0.0")), e), nil
+	}
+	return "", nil
+}
--- a/review/bed3/main.go
+++ b/review/bed3/main.go
@@ -19,6 +19,7 @@
 	"crash":     playCrash,
 	"odd-entry": playOddEntry,
 	"label":     playLabel,
+	"successor": playSuccessor,
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
