--- a/review/bed3/bed.go
+++ b/review/bed3/bed.go
@@ -119,23 +119,21 @@
 	writeJSON(w, http.StatusOK, map[string]any{"machines": machines, "next_page_token": nil})
 }
 
-// publish writes a configuration with one queue for each service.
-func (b *bed) publish(version int, services ...string) {
-	var routes, list []map[string]any
-	for _, s := range services {
-		routes = append(routes, map[string]any{
-			"name": "q-" + s, "host": s + ".example", "path_prefix": "/" + s + "/", "service": s, "timeout_ms": 3000,
+// publish writes a configuration with one queue.
+func (b *bed) publish(version int) {
+	data, _ := json.Marshal(map[string]any{
+		"version": version, "limits": map[string]any{"max_body_bytes": 262144}, "services": []any{map[string]any{"name": service, "enforces_capacity": false}},
+		"routes": []any{map[string]any{
+			"name": "q-" + service, "host": service + ".example", "path_prefix": "/" + service + "/", "service": service, "timeout_ms": 3000,
 			"target_latency_ms": 600, "stretch": 3, "priority": 0, "max_attempts": 3,
-		})
-		list = append(list, map[string]any{"name": s, "enforces_capacity": false})
-	}
-	data, _ := json.Marshal(map[string]any{"version": version, "routes": routes, "services": list, "limits": map[string]any{"max_body_bytes": 262144}})
+		}},
+	})
 	b.rec.log("the operator writes configuration %d", version)
 	b.store.Put("keyed.op", "config", data)
 }
 
 // addExecutor starts an executor and registers it.
-func (b *bed) addExecutor(service, kind string) (*executor, error) {
+func (b *bed) addExecutor(kind string) (*executor, error) {
 	b.mu.Lock()
 	n := len(b.executors) + 1
 	e := &executor{id: fmt.Sprintf("i-%d", n), machine: fmt.Sprintf("m-%d", n), rack: fmt.Sprintf("r1-%d", (n+3)/4), service: service, kind: kind, bed: b, address: fmt.Sprintf("%s.%d:0", b.prefix, 100+n)}
@@ -295,15 +293,15 @@
 }
 
 // jobURL returns the address of a job at a daemon.
-func jobURL(d *daemon, service, id string) string {
+func jobURL(d *daemon, id string) string {
 	return "http://" + d.callers + "/" + service + "/" + id
 }
 
 // submit hands a job in until it is accepted, as a client does.
-func (b *bed) submit(d *daemon, service, id string, job map[string]any) error {
+func (b *bed) submit(d *daemon, id string, job map[string]any) error {
 	body, _ := json.Marshal(job)
 	for range 20 {
-		status, _, err := b.call(http.MethodPost, jobURL(d, service, id), service+".example", body)
+		status, _, err := b.call(http.MethodPost, jobURL(d, id), service+".example", body)
 		b.rec.log("client: POST %s to %s is answered %d %v", id, d.name, status, err)
 		if status == http.StatusOK {
 			return nil
@@ -314,8 +312,8 @@
 }
 
 // state asks for the state of a job: that in the answer, or the status if it is not 200.
-func (b *bed) state(d *daemon, service, id string) string {
-	status, body, err := b.call(http.MethodGet, jobURL(d, service, id), service+".example", nil)
+func (b *bed) state(d *daemon, id string) string {
+	status, body, err := b.call(http.MethodGet, jobURL(d, id), service+".example", nil)
 	if status != http.StatusOK {
 		b.rec.log("client: GET %s at %s is answered %d %v", id, d.name, status, err)
 		return strconv.Itoa(status)
--- a/review/bed3/cases.go
+++ b/review/bed3/cases.go
@@ -9,20 +9,16 @@
 const (
 	daemonCount = 3
 	settleTime  = 2 * time.Second
+	// service is the one service of the scripts.
+	service = "pledges"
 )
 
-// deploy publishes a configuration, starts the executors of each service and the processes, and waits until they serve.
-func (b *bed) deploy(services map[string]int) error {
-	var names []string
-	for name := range services {
-		names = append(names, name)
-	}
-	b.publish(1, names...)
-	for name, count := range services {
-		for range count {
-			if _, err := b.addExecutor(name, "a"); err != nil {
-				return err
-			}
+// deploy publishes a configuration, starts executors and the processes, and waits until they serve.
+func (b *bed) deploy(executors int) error {
+	b.publish(1)
+	for range executors {
+		if _, err := b.addExecutor("a"); err != nil {
+			return err
 		}
 	}
 	for range daemonCount {
@@ -45,10 +41,10 @@
 }
 
 // awaitEnd asks for the state of a job, at one process after the other, until it is final or the time is over.
-func (b *bed) awaitEnd(service, id string, limit time.Duration) string {
+func (b *bed) awaitEnd(id string, limit time.Duration) string {
 	state := ""
 	for n, giveUp := 0, time.Now().Add(limit); time.Now().Before(giveUp); n++ {
-		state = b.state(b.daemons[n%len(b.daemons)], service, id)
+		state = b.state(b.daemons[n%len(b.daemons)], id)
 		if state == "completed" || state == "failed" || state == "cancelled" {
 			return state
 		}
@@ -59,8 +55,8 @@
 
 // playCrash lets the executor of a job's only task crash half a second after the task has started there, twice.
 func playCrash(b *bed, trouble bool) (string, error) {
-	const service, id = "pledges", "00000000000000a1"
-	if err := b.deploy(map[string]int{service: 9}); err != nil {
+	const id = "00000000000000a1"
+	if err := b.deploy(9); err != nil {
 		return "", err
 	}
 	crashes := 0
@@ -83,10 +79,10 @@
 		}
 		b.mu.Unlock()
 	}
-	if err := b.submit(b.daemons[0], service, id, map[string]any{"spec": "ms=1000", "steps": []any{step(1, 880, 1000)}}); err != nil {
+	if err := b.submit(b.daemons[0], id, map[string]any{"spec": "ms=1000", "steps": []any{step(1, 880, 1000)}}); err != nil {
 		return "", err
 	}
-	state := b.awaitEnd(service, id, 30*time.Second)
+	state := b.awaitEnd(id, 30*time.Second)
 	failed := 0
 	for _, r := range b.runsOf(id + ".0.0.0") {
 		if r.how == "failed" {
@@ -136,11 +132,11 @@
 
 // playOddEntry lets another writer write one entry with missing fields under the id of an executor that is at work.
 func playOddEntry(b *bed, trouble bool) (string, error) {
-	const service, id = "pledges", "00000000000000b2"
-	if err := b.deploy(map[string]int{service: 4}); err != nil {
+	const id = "00000000000000b2"
+	if err := b.deploy(4); err != nil {
 		return "", err
 	}
-	if err := b.submit(b.daemons[0], service, id, map[string]any{"spec": "ms=6000", "steps": []any{step(1, 880, 6000)}}); err != nil {
+	if err := b.submit(b.daemons[0], id, map[string]any{"spec": "ms=6000", "steps": []any{step(1, 880, 6000)}}); err != nil {
 		return "", err
 	}
 	time.Sleep(1500 * time.Millisecond)
@@ -162,7 +158,7 @@
 		b.rec.log("another writer writes servers/%s: %s", runs[0].executor, entry)
 		b.store.Put("keyed.servers", runs[0].executor, entry)
 	}
-	if state := b.awaitEnd(service, id, 30*time.Second); state != "completed" {
+	if state := b.awaitEnd(id, 30*time.Second); state != "completed" {
 		return fmt.Sprintf("LOST: the job is shown as %q", state), nil
 	}
 	return b.overlap(), nil
@@ -170,13 +166,13 @@
 
 // playLabel restarts an executor as one of another kind, while tasks wait that require the kind that it had.
 func playLabel(b *bed, trouble bool) (string, error) {
-	const service, id = "pledges", "00000000000000c3"
-	if err := b.deploy(map[string]int{service: 2}); err != nil {
+	const id = "00000000000000c3"
+	if err := b.deploy(2); err != nil {
 		return "", err
 	}
 	s := step(12, 4000, 1500)
 	s["requirements"] = "a"
-	if err := b.submit(b.daemons[0], service, id, map[string]any{"spec": "ms=1500", "steps": []any{s}}); err != nil {
+	if err := b.submit(b.daemons[0], id, map[string]any{"spec": "ms=1500", "steps": []any{s}}); err != nil {
 		return "", err
 	}
 	time.Sleep(600 * time.Millisecond)
@@ -200,7 +196,7 @@
 		return "", err
 	}
 	e.register()
-	if state := b.awaitEnd(service, id, 40*time.Second); state != "completed" {
+	if state := b.awaitEnd(id, 40*time.Second); state != "completed" {
 		return fmt.Sprintf("LOST: the job is shown as %q", state), nil
 	}
 	b.mu.Lock()
@@ -211,11 +207,11 @@
 // playSuccessor lets an agent on the machine of an idle executor write one entry with missing fields under an id of its own. The
 // executor is the only one with the label that a job requires.
 func playSuccessor(b *bed, trouble bool) (string, error) {
-	const service, id = "pledges", "00000000000000d4"
-	if err := b.deploy(map[string]int{service: 3}); err != nil {
+	const id = "00000000000000d4"
+	if err := b.deploy(3); err != nil {
 		return "", err
 	}
-	e, err := b.addExecutor(service, "b")
+	e, err := b.addExecutor("b")
 	if err != nil {
 		return "", err
 	}
@@ -232,10 +228,10 @@
 	s := step(1, 880, 1000)
 	s["requirements"] = "b"
 	accepted := time.Now()
-	if err := b.submit(b.daemons[0], service, id, map[string]any{"spec": "ms=1000", "steps": []any{s}}); err != nil {
+	if err := b.submit(b.daemons[0], id, map[string]any{"spec": "ms=1000", "steps": []any{s}}); err != nil {
 		return "", err
 	}
-	state := b.awaitEnd(service, id, 45*time.Second)
+	state := b.awaitEnd(id, 45*time.Second)
 	if state != "completed" {
 		return fmt.Sprintf("LOST: %s after it was accepted, the job is shown as %q and its task was started %d times; %s with the label b is idle",
 			time.Since(accepted).Round(time.Second), state, len(b.runsOf(id+".0.0.0")), e), nil
