--- a/review/bed3/main.go
+++ b/review/bed3/main.go
@@ -6,6 +6,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 )
 
 const (
@@ -44,6 +46,13 @@
 		return exitUnknown
 	}
 	defer b.close()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		b.close()
+		os.Exit(exitUnknown)
+	}()
 	broken, err := scripts[args[0]](b, trouble)
 	switch {
 	case err != nil:
